--- a/packages/daemon/include/sapphirereel/daemon/core_loop.hpp
+++ b/packages/daemon/include/sapphirereel/daemon/core_loop.hpp
@@ -6,8 +6,8 @@
 
 #include "sapphirereel/composition/daemon_core.hpp"
 #include "sapphirereel/daemon/action_meter.hpp"
-#include "sapphirereel/daemon/clocks.hpp"
 #include "sapphirereel/daemon/trace_recorder.hpp"
+#include "sapphirereel/telemetry/clocks.hpp"
 
 #ifndef ASIO_STANDALONE
 #define ASIO_STANDALONE
@@ -64,7 +64,7 @@
     /// Steps the core with an event now. Only on the core's thread.
     auto take(event const& what) -> void
     {
-        auto const now = monotonic_now();
+        auto const now = telemetry::monotonic_now();
         auto const done = core_.step(what, now);
         recorder_.record(what, now, done);
         meter_.count(what, done, now);
--- a/packages/daemon/include/sapphirereel/daemon/logger.hpp
+++ b/packages/daemon/include/sapphirereel/daemon/logger.hpp
@@ -3,9 +3,9 @@
 #ifndef SAPPHIREREEL_DAEMON_LOGGER_HPP
 #define SAPPHIREREEL_DAEMON_LOGGER_HPP
 
-#include "sapphirereel/daemon/log_line.hpp"
 #include "sapphirereel/daemon/log_repeat_limit.hpp"
 #include "sapphirereel/daemon/settings.hpp"
+#include "sapphirereel/telemetry/log_line.hpp"
 
 #include <functional>
 #include <mutex>
@@ -15,6 +15,11 @@
 
 namespace sapphirereel::daemon {
 
+using telemetry::finding_line;
+using telemetry::format_log_line;
+using telemetry::log_field;
+using telemetry::log_line;
+
 /// Takes each finished line, without its line break.
 using log_sink = std::function<void(std::string_view line)>;
 
--- a/packages/daemon/include/sapphirereel/daemon/metrics.hpp
+++ b/packages/daemon/include/sapphirereel/daemon/metrics.hpp
@@ -5,7 +5,7 @@
 
 #include "sapphirereel/core/clock.hpp"
 #include "sapphirereel/core/request.hpp"
-#include "sapphirereel/daemon/metrics_histogram.hpp"
+#include "sapphirereel/telemetry/metrics_histogram.hpp"
 
 #include <array>
 #include <atomic>
@@ -15,6 +15,8 @@
 
 namespace sapphirereel::daemon {
 
+using telemetry::metrics_histogram;
+
 /// Events that are counted.
 enum class counter
 {
--- a/packages/daemon/include/sapphirereel/daemon/settings.hpp
+++ b/packages/daemon/include/sapphirereel/daemon/settings.hpp
@@ -9,6 +9,7 @@
 #include "sapphirereel/core/configuration.hpp"
 #include "sapphirereel/core/finding.hpp"
 #include "sapphirereel/core/identifier.hpp"
+#include "sapphirereel/telemetry/log_level.hpp"
 
 #include <cstdint>
 #include <string>
@@ -16,14 +17,7 @@
 
 namespace sapphirereel::daemon {
 
-/// Log levels, from the most to the least detailed.
-enum class log_level
-{
-    debug,
-    info,
-    warning,
-    error
-};
+using telemetry::log_level;
 
 /// Section `[daemon]`: who this daemon is and where it listens.
 struct identity_settings
--- a/packages/daemon/src/caller_server.cpp
+++ b/packages/daemon/src/caller_server.cpp
@@ -1,10 +1,10 @@
 #include "sapphirereel/daemon/caller_server.hpp"
 
 #include "sapphirereel/codec/openai_answer_body.hpp"
-#include "sapphirereel/daemon/clocks.hpp"
 #include "sapphirereel/daemon/connection_queue.hpp"
 #include "sapphirereel/daemon/generation_response.hpp"
 #include "sapphirereel/daemon/http_answers.hpp"
+#include "sapphirereel/telemetry/clocks.hpp"
 
 #include <nlohmann/json.hpp>
 #include <set>
@@ -193,10 +193,10 @@
 
 auto caller_server::context() -> intake_context
 {
-    auto const civil = civil_now();
+    auto const civil = telemetry::civil_now();
     return {
         settings_.identity.secret, settings_.limits.default_deadline,
-        monotonic_now(), civil, names_.next(civil)};
+        telemetry::monotonic_now(), civil, names_.next(civil)};
 }
 
 auto caller_server::generate(
--- a/packages/daemon/src/daemon_process.cpp
+++ b/packages/daemon/src/daemon_process.cpp
@@ -1,8 +1,8 @@
 #include "sapphirereel/daemon/daemon_process.hpp"
 
-#include "sapphirereel/daemon/clocks.hpp"
 #include "sapphirereel/daemon/core_settings_from.hpp"
 #include "sapphirereel/daemon/report_log.hpp"
+#include "sapphirereel/telemetry/clocks.hpp"
 
 #include <csignal>
 #include <fmt/format.h>
@@ -49,7 +49,7 @@
     auto const seed = random_seed();
     auto const id = id_of(settings, seed);
     auto const of_core = core_settings_from(settings, id, seed);
-    auto const now = monotonic_now();
+    auto const now = telemetry::monotonic_now();
     auto core = daemon_core::create(of_core, now);
     if (!core)
     {
@@ -189,7 +189,7 @@
 
 auto daemon_process::tick() -> void
 {
-    loop_.take(clock_ticked{civil_now()});
+    loop_.take(clock_ticked{telemetry::civil_now()});
     copy_control_totals();
     timer_.expires_after(tick_interval);
     timer_.async_wait([this](std::error_code const& problem) {
--- a/packages/daemon/src/endpoint_threads.cpp
+++ b/packages/daemon/src/endpoint_threads.cpp
@@ -1,8 +1,8 @@
 #include "sapphirereel/daemon/endpoint_threads.hpp"
 
-#include "sapphirereel/daemon/clocks.hpp"
 #include "sapphirereel/endpoint/engine_client.hpp"
 #include "sapphirereel/endpoint/plain_client.hpp"
+#include "sapphirereel/telemetry/clocks.hpp"
 
 #include <utility>
 
@@ -138,7 +138,7 @@
 auto endpoint_threads::perform(send_call const& what) -> void
 {
     pool_.run([this, what] {
-        if (monotonic_now() >= what.not_after)
+        if (telemetry::monotonic_now() >= what.not_after)
         {
             sink_(call_ended{what.number, call_progress::not_sent, {}});
             return;
--- a/packages/daemon/src/logger.cpp
+++ b/packages/daemon/src/logger.cpp
@@ -1,6 +1,6 @@
 #include "sapphirereel/daemon/logger.hpp"
 
-#include "sapphirereel/daemon/clocks.hpp"
+#include "sapphirereel/telemetry/clocks.hpp"
 
 #include <cstdio>
 #include <fmt/format.h>
@@ -33,7 +33,7 @@
 
 auto log_now() -> log_moment
 {
-    return {civil_now(), monotonic_now()};
+    return {telemetry::civil_now(), telemetry::monotonic_now()};
 }
 
 logger::logger(log_settings const& settings, log_sink sink)
--- a/packages/daemon/src/operator_routes.cpp
+++ b/packages/daemon/src/operator_routes.cpp
@@ -3,9 +3,9 @@
 #include "sapphirereel/codec/configuration_codec.hpp"
 #include "sapphirereel/codec/routing_codec.hpp"
 #include "sapphirereel/core/selector_matching.hpp"
-#include "sapphirereel/daemon/clocks.hpp"
 #include "sapphirereel/daemon/http_answers.hpp"
 #include "sapphirereel/daemon/state_dump.hpp"
+#include "sapphirereel/telemetry/clocks.hpp"
 
 #include <charconv>
 #include <string>
@@ -125,8 +125,9 @@
         write_json(json.dump(), answer);
     });
     server.Get("/operator/dump", [parts](request const&, response& answer) {
-        auto const json = parts.loop.ask(
-            [](daemon_core& core) { return dump_json(core, monotonic_now()); });
+        auto const json = parts.loop.ask([](daemon_core& core) {
+            return dump_json(core, telemetry::monotonic_now());
+        });
         write_json(json.dump(), answer);
     });
     server.Get(
--- a/packages/daemon/src/platform_threads.cpp
+++ b/packages/daemon/src/platform_threads.cpp
@@ -2,7 +2,7 @@
 
 #include "sapphirereel/codec/claim_codec.hpp"
 #include "sapphirereel/codec/configuration_codec.hpp"
-#include "sapphirereel/daemon/clocks.hpp"
+#include "sapphirereel/telemetry/clocks.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -60,7 +60,7 @@
     {
         entries.push_back(decode_configuration_entry(record));
     }
-    return {page.first, page.next, std::move(entries), civil_now()};
+    return {page.first, page.next, std::move(entries), telemetry::civil_now()};
 }
 
 auto claim_page_of(platform::log_page const& page) -> claim_page
@@ -71,7 +71,7 @@
         records.push_back(
             {record.offset, record.appended, read_claim_batch(record.body)});
     }
-    return {page.first, page.next, std::move(records), civil_now()};
+    return {page.first, page.next, std::move(records), telemetry::civil_now()};
 }
 
 } // namespace
--- /dev/null
+++ b/packages/http/include/sapphirereel/http/response_parser.hpp
@@ -0,0 +1,55 @@
+/// \file
+/// Defines the parser of responses: fed bytes as they arrive, it yields the
+/// head, pieces of the body, and whether the body is whole.
+#ifndef SAPPHIREREEL_HTTP_RESPONSE_PARSER_HPP
+#define SAPPHIREREEL_HTTP_RESPONSE_PARSER_HPP
+
+#include "sapphirereel/http/message.hpp"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+
+namespace sapphirereel::http {
+
+/// Parses one response. Interim (1xx) responses are passed over.
+class response_parser
+{
+public:
+    /// `to_head` tells that the request was a HEAD, whose answer has no body.
+    explicit response_parser(bool to_head = false);
+    ~response_parser();
+    response_parser(response_parser&&) noexcept;
+    auto operator=(response_parser&&) noexcept -> response_parser&;
+
+    /// Takes bytes that arrived; an error says why they are no response.
+    auto feed(std::string_view bytes) -> tl::expected<void, std::string>;
+
+    /// Takes that the connection ended in good order.
+    auto feed_end() -> void;
+
+    /// The head, once it is whole.
+    [[nodiscard]] auto head() const -> std::optional<response_head> const&;
+
+    /// The bytes of the body that came since the last call.
+    auto take_body() -> std::string;
+
+    /// Whether the whole response has come.
+    [[nodiscard]] auto complete() const -> bool;
+
+    /// Whether bytes came after the end of the response.
+    [[nodiscard]] auto has_excess() const -> bool;
+
+    /// Whether the response ends with its connection.
+    [[nodiscard]] auto ends_with_connection() const -> bool;
+
+private:
+    struct state;
+    std::unique_ptr<state> state_;
+};
+
+} // namespace sapphirereel::http
+
+#endif
--- /dev/null
+++ b/packages/http/src/request_parser.cpp
@@ -0,0 +1,193 @@
+#include "sapphirereel/http/request_parser.hpp"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <limits>
+#include <utility>
+
+namespace sapphirereel::http {
+namespace {
+
+namespace beast = boost::beast::http;
+
+using beast_parser = beast::request_parser<beast::string_body>;
+
+/// Whether a header line goes on in the next line, an obsolete form that
+/// parsers read differently.
+auto has_folded_line(std::string_view head) -> bool
+{
+    return head.find("\r\n ") != std::string_view::npos ||
+           head.find("\r\n\t") != std::string_view::npos;
+}
+
+/// What in a parsed head makes its framing or its destination ambiguous.
+auto find_ambiguity(request const& head) -> std::optional<std::string>
+{
+    if (count(head.fields, "host") != 1)
+    {
+        return "the request needs exactly one Host field";
+    }
+    auto const lengths = count(head.fields, "content-length");
+    auto const codings = count(head.fields, "transfer-encoding");
+    if (lengths > 1 || codings > 1 || (lengths == 1 && codings == 1))
+    {
+        return "the length of the body is given more than once";
+    }
+    auto const coding = find(head.fields, "transfer-encoding");
+    if (coding && !same_name(*coding, "chunked"))
+    {
+        return "the only transfer coding taken is chunked";
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+struct request_parser::state
+{
+    message_limits limits;
+    std::string buffer;
+    std::optional<beast_parser> parser;
+    request head;
+    bool continue_wanted = false;
+};
+
+request_parser::request_parser()
+    : state_(std::make_unique<state>())
+{}
+request_parser::~request_parser() = default;
+request_parser::request_parser(request_parser&&) noexcept = default;
+auto request_parser::operator=(request_parser&&) noexcept
+    -> request_parser& = default;
+
+auto request_parser::set_limits(message_limits limits) -> void
+{
+    state_->limits = limits;
+}
+
+auto request_parser::append(std::string_view bytes) -> void
+{
+    state_->buffer.append(bytes);
+}
+
+auto request_parser::has_partial() const -> bool
+{
+    return state_->parser.has_value() || !state_->buffer.empty();
+}
+
+auto request_parser::take_continue_wanted() -> bool
+{
+    return std::exchange(state_->continue_wanted, false);
+}
+
+auto request_parser::waiting_bytes() const -> std::size_t
+{
+    return state_->buffer.size();
+}
+
+namespace {
+
+auto read_fields(beast_parser const& parser) -> request
+{
+    auto head = request{};
+    auto const& message = parser.get();
+    head.method = std::string{message.method_string()};
+    head.target = std::string{message.target()};
+    head.keep_alive = parser.keep_alive();
+    for (auto const& each : message)
+    {
+        head.fields.push_back(
+            {std::string{each.name_string()}, std::string{each.value()}});
+    }
+    return head;
+}
+
+auto status_of(boost::system::error_code const& error) -> int
+{
+    if (error == beast::error::body_limit)
+    {
+        return 413;
+    }
+    return error == beast::error::header_limit ? 431 : 400;
+}
+
+} // namespace
+
+auto request_parser::next()
+    -> tl::expected<std::optional<request>, request_error>
+{
+    auto& now = *state_;
+    auto error = boost::system::error_code{};
+    if (!now.parser)
+    {
+        // Empty lines before a request line are allowed and mean nothing.
+        while (now.buffer.starts_with("\r\n"))
+        {
+            now.buffer.erase(0, 2);
+        }
+        auto const end = now.buffer.find("\r\n\r\n");
+        auto const head_size =
+            end == std::string::npos ? now.buffer.size() : end + 4;
+        if (head_size > now.limits.head_bytes)
+        {
+            return tl::unexpected(
+                request_error{431, "the head of the request is too long"});
+        }
+        if (end == std::string::npos)
+        {
+            return std::nullopt;
+        }
+        if (has_folded_line(std::string_view{now.buffer}.substr(0, end)))
+        {
+            return tl::unexpected(
+                request_error{400, "a header field spans several lines"});
+        }
+        now.parser.emplace();
+        now.parser->header_limit(std::numeric_limits<std::uint32_t>::max());
+        now.parser->body_limit(now.limits.body_bytes);
+        now.parser->eager(true);
+        auto const used = now.parser->put(
+            boost::asio::buffer(now.buffer.data(), head_size), error);
+        if (error && error != beast::error::need_more)
+        {
+            return tl::unexpected(
+                request_error{status_of(error), error.message()});
+        }
+        now.buffer.erase(0, used);
+        now.head = read_fields(*now.parser);
+        if (auto const why = find_ambiguity(now.head))
+        {
+            return tl::unexpected(request_error{400, *why});
+        }
+        auto const expectation = find(now.head.fields, "expect");
+        now.continue_wanted =
+            expectation && same_name(*expectation, "100-continue");
+    }
+    while (!now.parser->is_done() && !now.buffer.empty())
+    {
+        error.clear();
+        auto const used = now.parser->put(
+            boost::asio::buffer(now.buffer.data(), now.buffer.size()), error);
+        now.buffer.erase(0, used);
+        if (error == beast::error::need_more)
+        {
+            break;
+        }
+        if (error)
+        {
+            return tl::unexpected(
+                request_error{status_of(error), error.message()});
+        }
+    }
+    if (!now.parser->is_done())
+    {
+        return std::nullopt;
+    }
+    now.head.body = std::move(now.parser->get().body());
+    now.parser.reset();
+    now.continue_wanted = false;
+    return std::exchange(now.head, request{});
+}
+
+} // namespace sapphirereel::http
--- /dev/null
+++ b/packages/http/src/response_parser.cpp
@@ -0,0 +1,131 @@
+#include "sapphirereel/http/response_parser.hpp"
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <limits>
+#include <utility>
+
+namespace sapphirereel::http {
+namespace {
+
+namespace beast = boost::beast::http;
+
+using beast_parser = beast::response_parser<beast::string_body>;
+
+/// Largest head of a response, in bytes.
+constexpr auto head_limit = std::uint32_t{65'536};
+
+auto read_head(beast_parser const& parser) -> response_head
+{
+    auto head = response_head{};
+    auto const& message = parser.get();
+    head.status = static_cast<int>(message.result_int());
+    head.reason = std::string{message.reason()};
+    head.keep_alive = parser.keep_alive();
+    for (auto const& each : message)
+    {
+        head.fields.push_back(
+            {std::string{each.name_string()}, std::string{each.value()}});
+    }
+    return head;
+}
+
+} // namespace
+
+struct response_parser::state
+{
+    bool to_head = false;
+    std::string buffer;
+    std::optional<beast_parser> parser;
+    std::optional<response_head> head;
+
+    auto restart() -> void
+    {
+        parser.emplace();
+        parser->header_limit(head_limit);
+        parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+        parser->eager(true);
+        parser->skip(to_head);
+    }
+};
+
+response_parser::response_parser(bool to_head)
+    : state_(std::make_unique<state>())
+{
+    state_->to_head = to_head;
+    state_->restart();
+}
+response_parser::~response_parser() = default;
+response_parser::response_parser(response_parser&&) noexcept = default;
+auto response_parser::operator=(response_parser&&) noexcept
+    -> response_parser& = default;
+
+auto response_parser::feed(std::string_view bytes)
+    -> tl::expected<void, std::string>
+{
+    auto& now = *state_;
+    now.buffer.append(bytes);
+    while (!now.buffer.empty() && !now.parser->is_done())
+    {
+        auto error = boost::system::error_code{};
+        auto const used = now.parser->put(
+            boost::asio::buffer(now.buffer.data(), now.buffer.size()), error);
+        now.buffer.erase(0, used);
+        if (error && error != beast::error::need_more)
+        {
+            return tl::unexpected(error.message());
+        }
+        if (!now.head && now.parser->is_header_done())
+        {
+            auto const status = now.parser->get().result_int();
+            if (status < 200 && now.parser->is_done())
+            {
+                now.restart();
+                continue;
+            }
+            now.head = read_head(*now.parser);
+        }
+        if (error == beast::error::need_more || used == 0)
+        {
+            break;
+        }
+    }
+    return {};
+}
+
+auto response_parser::feed_end() -> void
+{
+    auto error = boost::system::error_code{};
+    if (state_->parser->is_header_done())
+    {
+        // An error leaves the response incomplete, which is what it means.
+        state_->parser->put_eof(error);
+    }
+}
+
+auto response_parser::head() const -> std::optional<response_head> const&
+{
+    return state_->head;
+}
+
+auto response_parser::take_body() -> std::string
+{
+    return std::exchange(state_->parser->get().body(), std::string{});
+}
+
+auto response_parser::complete() const -> bool
+{
+    return state_->head.has_value() && state_->parser->is_done();
+}
+
+auto response_parser::has_excess() const -> bool
+{
+    return complete() && !state_->buffer.empty();
+}
+
+auto response_parser::ends_with_connection() const -> bool
+{
+    return state_->parser->is_header_done() && state_->parser->need_eof();
+}
+
+} // namespace sapphirereel::http
--- /dev/null
+++ b/packages/relay/include/sapphirereel/relay/connection.hpp
@@ -0,0 +1,109 @@
+/// \file
+/// Defines a TCP connection on the event loop: reads as bytes arrive, writes
+/// without blocking, and tells when the other side ends it.
+#ifndef SAPPHIREREEL_RELAY_CONNECTION_HPP
+#define SAPPHIREREEL_RELAY_CONNECTION_HPP
+
+#include "sapphirereel/core/clock.hpp"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <system_error>
+
+namespace sapphirereel::relay {
+
+/// How the other side ended a connection.
+enum class connection_end
+{
+    /// It closed in good order.
+    closed,
+    /// It reset the connection, or the connection broke.
+    broken
+};
+
+/// One TCP connection. Lives as long as it is open or somebody holds it. All
+/// calls are made on the event loop's thread.
+class connection : public std::enable_shared_from_this<connection>
+{
+public:
+    /// What the owner is told. No handler runs after `close`.
+    struct handlers
+    {
+        std::function<void(std::string_view)> received;
+        std::function<void(connection_end)> ended;
+        /// All bytes handed to `send` have been written.
+        std::function<void()> drained;
+    };
+
+    using connect_handler =
+        std::function<void(std::shared_ptr<connection>, std::error_code)>;
+
+    /// Takes a socket that is connected.
+    static auto adopt(asio::ip::tcp::socket socket)
+        -> std::shared_ptr<connection>;
+
+    /// Connects, or fails after `limit`.
+    static auto connect(
+        asio::io_context& loop,
+        asio::ip::tcp::endpoint const& to,
+        duration limit,
+        connect_handler done) -> void;
+
+    ~connection();
+    connection(connection const&) = delete;
+    auto operator=(connection const&) -> connection& = delete;
+
+    auto set_handlers(handlers to) -> void;
+
+    /// Begins or resumes reading.
+    auto read() -> void;
+
+    /// Stops reading until `read` is called.
+    auto pause() -> void;
+
+    auto send(std::string bytes) -> void;
+
+    /// Bytes that wait to be written.
+    [[nodiscard]] auto unsent() const -> std::size_t;
+
+    /// Ends the connection after what was sent has been written; what the
+    /// other side still sends is read and dropped for a moment, so that no
+    /// reset overtakes the last bytes.
+    auto close_gently() -> void;
+
+    auto close() -> void;
+
+    [[nodiscard]] auto is_open() const -> bool;
+
+    /// Whether bytes or an end already wait to be read.
+    [[nodiscard]] auto has_input() -> bool;
+
+private:
+    explicit connection(asio::ip::tcp::socket socket);
+
+    auto wait_readable() -> void;
+    auto read_available() -> void;
+    auto write_pending() -> void;
+    auto finish_gently() -> void;
+    auto end(connection_end how) -> void;
+
+    asio::ip::tcp::socket socket_;
+    asio::steady_timer lingering_;
+    handlers handlers_;
+    std::string pending_;
+    std::size_t written_ = 0;
+    bool reading_ = false;
+    bool waiting_readable_ = false;
+    bool waiting_writable_ = false;
+    bool closing_ = false;
+};
+
+} // namespace sapphirereel::relay
+
+#endif
--- /dev/null
+++ b/packages/relay/include/sapphirereel/relay/peer_socket.hpp
@@ -0,0 +1,54 @@
+/// \file
+/// Defines the socket that carries reports between daemons.
+#ifndef SAPPHIREREEL_RELAY_PEER_SOCKET_HPP
+#define SAPPHIREREEL_RELAY_PEER_SOCKET_HPP
+
+#include <array>
+#include <asio/io_context.hpp>
+#include <asio/ip/udp.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+
+namespace sapphirereel::relay {
+
+/// Sends and receives datagrams; one that can't be sent at once is dropped.
+class peer_socket
+{
+public:
+    using received_handler = std::function<void(std::string_view)>;
+
+    static auto open(
+        asio::io_context& loop,
+        std::string const& ip,
+        std::uint16_t port,
+        received_handler received)
+        -> tl::expected<std::unique_ptr<peer_socket>, std::string>;
+
+    /// Sends to the same port of another daemon's address.
+    auto send(std::string const& ip, std::string_view bytes) -> void;
+
+private:
+    /// Largest datagram, in bytes.
+    static constexpr auto most_bytes = std::size_t{65'507};
+
+    peer_socket(
+        asio::ip::udp::socket socket,
+        std::uint16_t port,
+        received_handler received);
+
+    auto wait() -> void;
+    auto receive_waiting() -> void;
+
+    asio::ip::udp::socket socket_;
+    std::uint16_t port_;
+    received_handler received_;
+    std::array<char, most_bytes> buffer_;
+};
+
+} // namespace sapphirereel::relay
+
+#endif
--- /dev/null
+++ b/packages/relay/include/sapphirereel/relay/peer_table.hpp
@@ -0,0 +1,59 @@
+/// \file
+/// Defines which other daemons there are, by their reports: who is alive, who
+/// takes callers, and to whom this daemon reports.
+#ifndef SAPPHIREREEL_RELAY_PEER_TABLE_HPP
+#define SAPPHIREREEL_RELAY_PEER_TABLE_HPP
+
+#include "sapphirereel/core/clock.hpp"
+#include "sapphirereel/relay/peer_report.hpp"
+
+#include <cstddef>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace sapphirereel::relay {
+
+/// The other daemons.
+class peer_table
+{
+public:
+    /// `own_ip` is left out wherever it is heard of.
+    peer_table(std::string own_ip, std::vector<std::string> const& seeds);
+
+    /// Takes in a report. False if it is older than what is known.
+    auto heard(peer_report const& report, time_point now) -> bool;
+
+    /// Addresses to report to: daemons that are alive, and now and then those
+    /// that were heard of and don't answer.
+    [[nodiscard]] auto targets(time_point now, bool with_silent) const
+        -> std::vector<std::string>;
+
+    /// The last reports of the daemons that are alive.
+    [[nodiscard]] auto alive(time_point now) const -> std::vector<peer_report>;
+
+    /// Addresses of daemons heard of, to be told to others.
+    [[nodiscard]] auto known() const -> std::vector<std::string>;
+
+    /// Largest number of daemons, this one included, that may be running.
+    [[nodiscard]] auto most_daemons() const -> std::size_t
+    {
+        return seen_.size() + 1;
+    }
+
+private:
+    struct peer
+    {
+        peer_report last;
+        time_point heard_at;
+    };
+
+    std::string own_ip_;
+    std::set<std::string> seen_;
+    std::map<std::string, peer> peers_;
+};
+
+} // namespace sapphirereel::relay
+
+#endif
--- /dev/null
+++ b/packages/relay/include/sapphirereel/relay/plain_exchange.hpp
@@ -0,0 +1,361 @@
+/// \file
+/// Defines the exchange of a request whose answer is taken whole before it is
+/// passed on.
+#ifndef SAPPHIREREEL_RELAY_PLAIN_EXCHANGE_HPP
+#define SAPPHIREREEL_RELAY_PLAIN_EXCHANGE_HPP
+
+#include "sapphirereel/relay/exchange.hpp"
+
+namespace sapphirereel::relay {
+
+/// Longest time that one attempt of an idempotent request may take while
+/// another one is left, as a multiple of the route's target latency.
+inline constexpr auto attempt_limit_share = 2.0;
+
+/// Longest idle time of a connection that carries a request which may run
+/// only once: the other side may drop idle connections unseen.
+inline constexpr auto most_idle_for_single_run =
+    duration{std::chrono::milliseconds{900}};
+
+/// Serves one request. Owned by the handlers of what it waits for.
+template <message_format Format>
+class plain_exchange
+    : public std::enable_shared_from_this<plain_exchange<Format>>
+{
+public:
+    static auto start(
+        relay_state& state,
+        std::shared_ptr<caller_session> caller,
+        caller_request request,
+        grant granted) -> void
+    {
+        auto const self = std::shared_ptr<plain_exchange>{new plain_exchange{
+            state, std::move(caller), std::move(request), std::move(granted)}};
+        self->begin();
+    }
+
+private:
+    plain_exchange(
+        relay_state& state,
+        std::shared_ptr<caller_session> caller,
+        caller_request request,
+        grant granted)
+        : all_(state, std::move(caller), std::move(request), std::move(granted))
+        , attempt_timer_(state.loop)
+    {}
+
+    auto begin() -> void
+    {
+        auto const self = this->shared_from_this();
+        all_.caller->on_gone([self] { self->caller_gone(); });
+        all_.deadline_timer.expires_after(all_.remaining(all_.began));
+        all_.deadline_timer.async_wait([self](std::error_code error) {
+            if (!error)
+            {
+                self->deadline_passed();
+            }
+        });
+        attempt();
+    }
+
+    [[nodiscard]] auto is_idempotent() const -> bool
+    {
+        return all_.granted.route->kind == request_kind::idempotent;
+    }
+
+    [[nodiscard]] auto may_run_again() const -> bool
+    {
+        return all_.runs == 0 || (is_idempotent() &&
+                                  all_.runs < all_.granted.route->max_attempts);
+    }
+
+    auto attempt() -> void
+    {
+        auto const now = telemetry::monotonic_now();
+        auto const left = all_.remaining(now);
+        if (left < least_time_for_attempt)
+        {
+            give_up(refusal_reason::deadline, 504, "no time is left");
+            return;
+        }
+        auto const chosen = all_.state.replicas.choose(
+            {all_.service, 0, 0, all_.excluded}, std::nullopt, now);
+        if (!chosen)
+        {
+            give_up(refusal_reason::no_replica, 502, "no replica is left");
+            return;
+        }
+        auto const to = address_of(chosen->target);
+        if (!to)
+        {
+            all_.excluded.insert(chosen->target.id);
+            attempt();
+            return;
+        }
+        if (!all_.may_send_again(now))
+        {
+            give_up(refusal_reason::retry_budget, 502, "no retry is left");
+            return;
+        }
+        send(*chosen, *to, left);
+    }
+
+    auto send(
+        placement const& chosen,
+        asio::ip::tcp::endpoint const& to,
+        duration left) -> void
+    {
+        target_ = chosen.target.id;
+        all_.state.replicas.add(target_, one_request);
+        counted_ = true;
+        all_.state.log.request(
+            all_.request.id, "sent",
+            {{"replica", target_},
+             {"service", all_.service},
+             {"route", all_.granted.route->name},
+             {"configuration", all_.granted.table->configuration().version},
+             {"score", chosen.score},
+             {"candidates", chosen.candidates},
+             {"attempt", all_.sends + 1},
+             {"left", left}});
+        head_.reset();
+        body_.clear();
+        auto options = call_options{};
+        options.to_head = all_.request.method == "HEAD";
+        if (!is_idempotent())
+        {
+            options.most_idle = most_idle_for_single_run;
+        }
+        ++all_.sends;
+        ++all_.runs;
+        auto const self = this->shared_from_this();
+        call_ = all_.state.pool.start(
+            to,
+            Format::write_call(
+                all_.request, {target_, left, all_.granted.customer, {}, {}}),
+            options,
+            {[self](http::response_head const& head) { self->head_ = head; },
+             [self](std::string body) { self->body_ += body; },
+             [self] { self->answered(); },
+             [self](call_failure const& why) {
+                 self->attempt_failed(why);
+             }});
+        arm_attempt_timer(left);
+    }
+
+    /// Limits an attempt that another one can follow.
+    auto arm_attempt_timer(duration left) -> void
+    {
+        if (!is_idempotent() || !may_run_again())
+        {
+            return;
+        }
+        auto const limit = std::chrono::duration_cast<duration>(
+            all_.granted.route->target_latency * attempt_limit_share);
+        if (limit >= left)
+        {
+            return;
+        }
+        attempt_timer_.expires_after(limit);
+        attempt_timer_.async_wait(
+            [self = this->shared_from_this()](std::error_code error) {
+                if (!error && self->call_)
+                {
+                    self->call_->cancel();
+                    self->attempt_failed(
+                        {call_stage::waiting, "the replica took too long"});
+                }
+            });
+    }
+
+    auto end_attempt() -> void
+    {
+        attempt_timer_.cancel();
+        call_.reset();
+        if (std::exchange(counted_, false))
+        {
+            all_.state.replicas.remove(target_, one_request);
+        }
+    }
+
+    auto answered() -> void
+    {
+        end_attempt();
+        if (all_.over)
+        {
+            return;
+        }
+        auto const now = telemetry::monotonic_now();
+        auto const answer = Format::read_answer(*head_);
+        if (answer.load)
+        {
+            all_.state.replicas.stated(target_, *answer.load, now);
+        }
+        auto const is_ours =
+            answer.request_id.empty() || answer.request_id == all_.request.id;
+        if (answer.not_run && is_ours)
+        {
+            rejected(now);
+            return;
+        }
+        auto const is_success = head_->status / 100 == 2;
+        auto const is_sound = is_ours && (answer.is_signed || !is_success) &&
+                              (is_success ? !answer.request_id.empty() : true);
+        if (!is_sound)
+        {
+            attempt_failed(
+                {call_stage::answering,
+                 "the answer is not the replica's answer to this request"});
+            return;
+        }
+        all_.state.replicas.succeeded(target_);
+        auto const may_improve = head_->status >= 500 && is_idempotent() &&
+                                 all_.runs < all_.granted.route->max_attempts;
+        if (may_improve)
+        {
+            fallback_ = http::response{*head_, body_};
+            all_.excluded.insert(target_);
+            attempt();
+            return;
+        }
+        deliver({std::move(*head_), std::move(body_)}, now);
+    }
+
+    /// The replica did not run the request.
+    auto rejected(time_point now) -> void
+    {
+        --all_.runs;
+        all_.state.metrics.add(relay_counter::replica_rejections);
+        all_.state.log.request(
+            all_.request.id, "rejected by the replica",
+            {{"replica", target_}, {"status", head_->status}});
+        if (head_->status == 421)
+        {
+            all_.state.replicas.failed(target_, now);
+        }
+        all_.excluded.insert(target_);
+        attempt();
+    }
+
+    auto attempt_failed(call_failure const& why) -> void
+    {
+        end_attempt();
+        if (all_.over)
+        {
+            return;
+        }
+        auto const now = telemetry::monotonic_now();
+        all_.state.replicas.failed(target_, now);
+        all_.excluded.insert(target_);
+        all_.state.log.request(
+            all_.request.id, "attempt failed",
+            {{"replica", target_},
+             {"why", why.detail},
+             {"stage", static_cast<int>(why.stage)}});
+        if (why.stage == call_stage::connecting)
+        {
+            all_.state.metrics.add(relay_counter::connections_failed);
+            --all_.runs;
+            --all_.sends;
+        }
+        if (!may_run_again())
+        {
+            give_up(refusal_reason::no_replica, 502, why.detail);
+            return;
+        }
+        attempt();
+    }
+
+    /// Ends the request: with an answer that a replica gave, as not run where
+    /// that is certain, else with a status that promises nothing.
+    auto give_up(refusal_reason why, int status, std::string_view detail)
+        -> void
+    {
+        if (fallback_)
+        {
+            deliver(std::move(*fallback_), telemetry::monotonic_now());
+            return;
+        }
+        all_.caller->on_gone({});
+        if (all_.may_have_run())
+        {
+            all_.fail(status, detail);
+        }
+        else
+        {
+            all_.refuse(why);
+        }
+    }
+
+    auto deliver(http::response answer, time_point now) -> void
+    {
+        if (std::exchange(all_.over, true))
+        {
+            return;
+        }
+        all_.deadline_timer.cancel();
+        all_.state.metrics.add(relay_counter::answers);
+        all_.state.metrics.observe(relay_timing::answer, now - all_.began);
+        all_.state.log.request(
+            all_.request.id, "answered",
+            {{"replica", target_},
+             {"status", answer.head.status},
+             {"bytes", answer.body.size()},
+             {"after", now - all_.began}});
+        auto fields = Format::answer_fields(answer.head);
+        auto const needs_head_only = all_.request.method == "HEAD";
+        all_.caller->respond(
+            answer.head.status, std::move(fields),
+            needs_head_only ? std::string{} : answer.body);
+    }
+
+    auto deadline_passed() -> void
+    {
+        if (all_.over)
+        {
+            return;
+        }
+        if (call_)
+        {
+            call_->cancel();
+        }
+        end_attempt();
+        give_up(refusal_reason::deadline, 504, "no answer in time");
+    }
+
+    auto caller_gone() -> void
+    {
+        if (std::exchange(all_.over, true))
+        {
+            return;
+        }
+        all_.deadline_timer.cancel();
+        if (call_)
+        {
+            call_->cancel();
+        }
+        end_attempt();
+        all_.state.metrics.add(relay_counter::callers_gone);
+        all_.state.log.request(
+            all_.request.id, "caller left",
+            {{"replica", target_},
+             {"after", telemetry::monotonic_now() - all_.began}});
+    }
+
+    static constexpr auto one_request = replica_load{1, 0, 0};
+
+    exchange all_;
+    asio::steady_timer attempt_timer_;
+    std::shared_ptr<upstream_call> call_;
+    endpoint_id target_;
+    bool counted_ = false;
+    std::optional<http::response_head> head_;
+    std::string body_;
+    /// An answer that says the replica failed, kept in case no other does
+    /// better.
+    std::optional<http::response> fallback_;
+};
+
+} // namespace sapphirereel::relay
+
+#endif
--- /dev/null
+++ b/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
@@ -0,0 +1,81 @@
+/// \file
+/// Defines the counters and histograms of a relay and their page in
+/// Prometheus' text format.
+#ifndef SAPPHIREREEL_RELAY_RELAY_METRICS_HPP
+#define SAPPHIREREEL_RELAY_RELAY_METRICS_HPP
+
+#include "sapphirereel/core/clock.hpp"
+#include "sapphirereel/relay/request_gate.hpp"
+#include "sapphirereel/telemetry/metrics_histogram.hpp"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace sapphirereel::relay {
+
+/// Events that are counted.
+enum class relay_counter
+{
+    requests,
+    answers,
+    failures,
+    callers_gone,
+    retries,
+    connections_failed,
+    replica_rejections,
+    stream_events,
+    streams_moved,
+    stream_moves_failed,
+    streams_lost,
+    store_calls,
+    store_failures,
+    peer_reports_sent,
+    peer_reports_received,
+    peer_fetches,
+    count_of_counters
+};
+
+/// Times that are measured.
+enum class relay_timing
+{
+    answer,
+    first_event,
+    pause,
+    move_pause,
+    count_of_timings
+};
+
+/// All metrics of a relay. Used on the event loop's thread.
+class relay_metrics
+{
+public:
+    relay_metrics();
+
+    auto add(relay_counter which, std::uint64_t amount = 1) -> void;
+    auto refused(refusal_reason why) -> void;
+    auto observe(relay_timing which, duration length) -> void;
+
+    [[nodiscard]] auto value(relay_counter which) const -> std::uint64_t;
+
+    /// The page for the metrics address.
+    [[nodiscard]] auto page() const -> std::string;
+
+private:
+    static constexpr auto counters =
+        static_cast<std::size_t>(relay_counter::count_of_counters);
+    static constexpr auto reasons =
+        static_cast<std::size_t>(refusal_reason::crashes_replicas) + 1;
+
+    std::array<std::uint64_t, counters> counters_{};
+    std::array<std::uint64_t, reasons> refusals_{};
+    std::array<
+        telemetry::metrics_histogram,
+        static_cast<std::size_t>(relay_timing::count_of_timings)>
+        timings_;
+};
+
+} // namespace sapphirereel::relay
+
+#endif
--- /dev/null
+++ b/packages/relay/include/sapphirereel/relay/relay_state.hpp
@@ -0,0 +1,84 @@
+/// \file
+/// Defines what the exchanges of one daemon share.
+#ifndef SAPPHIREREEL_RELAY_RELAY_STATE_HPP
+#define SAPPHIREREEL_RELAY_RELAY_STATE_HPP
+
+#include "sapphirereel/core/length_estimate.hpp"
+#include "sapphirereel/relay/event_log.hpp"
+#include "sapphirereel/relay/relay_metrics.hpp"
+#include "sapphirereel/relay/replica_table.hpp"
+#include "sapphirereel/relay/retry_share.hpp"
+#include "sapphirereel/relay/routing.hpp"
+#include "sapphirereel/relay/upstream_call.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+
+namespace sapphirereel::relay {
+
+/// A stream under way, as whoever watches its replica sees it.
+class leaving_listener
+{
+public:
+    virtual ~leaving_listener() = default;
+
+    /// The replica that the stream runs on takes no more work and will end.
+    virtual auto replica_leaves(time_point now) -> void = 0;
+
+protected:
+    leaving_listener() = default;
+    leaving_listener(leaving_listener const&) = default;
+    auto operator=(leaving_listener const&) -> leaving_listener& = default;
+};
+
+/// What the exchanges of one daemon share. Used on the event loop's thread.
+struct relay_state
+{
+    relay_state(
+        asio::io_context& on,
+        zone_name zone,
+        retry_budget_terms const& terms,
+        length_estimator lengths,
+        std::uint64_t seed)
+        : loop(on)
+        , pool(on)
+        , replicas(std::move(zone), seed)
+        , retry_terms(terms)
+        , output_lengths(std::move(lengths))
+        , random(seed)
+    {}
+
+    /// The retry share of a service.
+    auto retries_of(service_name const& service) -> retry_share&
+    {
+        return retries.try_emplace(service, retry_terms).first->second;
+    }
+
+    asio::io_context& loop;
+    upstream_pool pool;
+    replica_table replicas;
+    std::shared_ptr<routing_table const> table;
+    retry_budget_terms retry_terms;
+    std::map<service_name, retry_share> retries;
+    length_estimator output_lengths;
+    std::mt19937_64 random;
+    event_log log;
+    relay_metrics metrics;
+    /// Streams by the replica they run on.
+    std::map<endpoint_id, std::set<leaving_listener*>> streams;
+    /// Told when this daemon's count of the work on replicas has changed.
+    std::function<void()> load_changed = [] {
+    };
+    /// The largest number of daemons that may share the retry budget.
+    std::size_t daemons = 1;
+    /// Requests under way.
+    std::size_t active = 0;
+    bool stopping = false;
+};
+
+} // namespace sapphirereel::relay
+
+#endif
--- /dev/null
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -0,0 +1,810 @@
+/// \file
+/// Defines the exchange of a stream: events are passed on whole as they come,
+/// and a run goes on at another replica when its own one leaves.
+#ifndef SAPPHIREREEL_RELAY_STREAM_EXCHANGE_HPP
+#define SAPPHIREREEL_RELAY_STREAM_EXCHANGE_HPP
+
+#include "sapphirereel/relay/event_splitter.hpp"
+#include "sapphirereel/relay/exchange.hpp"
+#include "sapphirereel/relay/stream_load.hpp"
+#include "sapphirereel/relay/whole_call.hpp"
+
+namespace sapphirereel::relay {
+
+/// Bytes that wait for a slow caller before its replica is no longer read.
+inline constexpr auto most_unsent_bytes = std::size_t{262'144};
+
+/// Longest time for one order to copy a run's memory.
+inline constexpr auto move_call_limit = duration{std::chrono::seconds{3}};
+
+/// Time until an order to copy is repeated where the replica does not know the
+/// run yet or is still copying.
+inline constexpr auto move_retry_delay =
+    duration{std::chrono::milliseconds{60}};
+
+/// Most orders to copy for one run.
+inline constexpr auto most_move_orders = 24;
+
+/// Latest time after the news that a replica leaves at which a run on it is
+/// stopped to go on elsewhere.
+inline constexpr auto latest_stop_after_notice =
+    duration{std::chrono::milliseconds{1'050}};
+
+/// Serves one stream. Owned by the handlers of what it waits for.
+template <message_format Format>
+class stream_exchange final
+    : public leaving_listener,
+      public std::enable_shared_from_this<stream_exchange<Format>>
+{
+public:
+    static auto start(
+        relay_state& state,
+        std::shared_ptr<caller_session> caller,
+        caller_request request,
+        grant granted) -> void
+    {
+        auto const self = std::shared_ptr<stream_exchange>{new stream_exchange{
+            state, std::move(caller), std::move(request), std::move(granted)}};
+        self->begin();
+    }
+
+    ~stream_exchange() override
+    {
+        unwatch();
+    }
+    stream_exchange(stream_exchange const&) = delete;
+    auto operator=(stream_exchange const&) -> stream_exchange& = delete;
+
+    auto replica_leaves(time_point now) -> void override
+    {
+        if (all_.over || phase_ != move_phase::none)
+        {
+            target_left_ = phase_ == move_phase::continuing;
+            return;
+        }
+        noticed_at_ = now;
+        auto const traits = all_.engine();
+        if (traits && traits->moves)
+        {
+            begin_move();
+        }
+    }
+
+private:
+    /// How far a move of the run has come.
+    enum class move_phase
+    {
+        none,
+        /// The memory is being copied while the run goes on.
+        copying,
+        /// The run is being stopped, and what is new is copied.
+        stopping,
+        /// The run goes on at another replica.
+        continuing
+    };
+
+    stream_exchange(
+        relay_state& state,
+        std::shared_ptr<caller_session> caller,
+        caller_request request,
+        grant granted)
+        : all_(state, std::move(caller), std::move(request), std::move(granted))
+        , load_(state.replicas)
+        , move_timer_(state.loop)
+        , size_(all_.request.generation.value_or(generation_size{}))
+        , expected_output_(
+              relay::expected_output(state.output_lengths.curve(kind()), size_))
+    {}
+
+    /// Streams of one route are taken to be alike in length.
+    [[nodiscard]] auto kind() const -> stream_kind
+    {
+        return {service_name{all_.granted.route->name}, customer_id{}};
+    }
+
+    auto begin() -> void
+    {
+        auto const self = this->shared_from_this();
+        all_.caller->on_gone([self] { self->caller_gone(); });
+        all_.deadline_timer.expires_after(all_.remaining(all_.began));
+        all_.deadline_timer.async_wait([self](std::error_code error) {
+            if (!error)
+            {
+                self->deadline_passed();
+            }
+        });
+        attempt();
+    }
+
+    [[nodiscard]] auto need() const -> placement_need
+    {
+        return {
+            all_.service,
+            counted_memory(size_, expected_output_, output_tokens()),
+            size_.prompt, all_.excluded};
+    }
+
+    [[nodiscard]] auto output_tokens() const -> double
+    {
+        auto const traits = all_.engine();
+        return static_cast<double>(events_) *
+               (traits ? traits->tokens_per_event : 1);
+    }
+
+    auto attempt() -> void
+    {
+        auto const now = telemetry::monotonic_now();
+        if (all_.remaining(now) < least_time_for_attempt)
+        {
+            give_up(refusal_reason::deadline, 504, "no time is left");
+            return;
+        }
+        auto const chosen =
+            all_.state.replicas.choose(need(), all_.engine(), now);
+        auto const to = chosen ? address_of(chosen->target) : std::nullopt;
+        if (!to)
+        {
+            give_up(refusal_reason::no_replica, 502, "no replica is left");
+            return;
+        }
+        if (!all_.may_send_again(now))
+        {
+            give_up(refusal_reason::retry_budget, 502, "no retry is left");
+            return;
+        }
+        log_sent(*chosen, now);
+        ++all_.sends;
+        ++all_.runs;
+        send(chosen->target, *to, std::nullopt);
+    }
+
+    auto log_sent(placement const& chosen, time_point now) -> void
+    {
+        all_.state.log.request(
+            all_.request.id, "sent",
+            {{"replica", chosen.target.id},
+             {"service", all_.service},
+             {"route", all_.granted.route->name},
+             {"configuration", all_.granted.table->configuration().version},
+             {"score", chosen.score},
+             {"memory_share", chosen.memory_share},
+             {"candidates", chosen.candidates},
+             {"prompt_tokens", size_.prompt},
+             {"expected_tokens", expected_output_},
+             {"attempt", all_.sends + 1},
+             {"left", all_.remaining(now)}});
+    }
+
+    /// Sends the request, or its continuation, to a replica.
+    auto send(
+        replica const& target,
+        asio::ip::tcp::endpoint const& to,
+        std::optional<continuation> resumed) -> void
+    {
+        auto const now = telemetry::monotonic_now();
+        unwatch();
+        target_ = target;
+        watch();
+        auto const memory = need().memory_tokens;
+        load_.place(target.id, memory, resumed ? 0 : size_.prompt);
+        all_.state.load_changed();
+        splitter_ = {};
+        head_.reset();
+        source_ended_ = false;
+        auto const self = this->shared_from_this();
+        call_ = all_.state.pool.start(
+            to,
+            Format::write_call(
+                all_.request, {target.id,
+                               all_.remaining(now),
+                               all_.granted.customer,
+                               std::move(resumed),
+                               {}}),
+            {},
+            {[self](http::response_head const& head) { self->answered(head); },
+             [self](std::string body) { self->receive(body); },
+             [self] { self->source_completed(); },
+             [self](call_failure const& why) {
+                 self->source_failed(why);
+             }});
+    }
+
+    auto watch() -> void
+    {
+        all_.state.streams[target_.id].insert(this);
+    }
+
+    auto unwatch() -> void
+    {
+        auto const found = all_.state.streams.find(target_.id);
+        if (found == all_.state.streams.end())
+        {
+            return;
+        }
+        found->second.erase(this);
+        if (found->second.empty())
+        {
+            all_.state.streams.erase(found);
+        }
+    }
+
+    auto answered(http::response_head const& head) -> void
+    {
+        head_ = head;
+        auto const answer = Format::read_answer(head);
+        auto const now = telemetry::monotonic_now();
+        if (answer.load)
+        {
+            all_.state.replicas.stated(target_.id, *answer.load, now);
+        }
+        is_success_ = head.status / 100 == 2 && answer.is_signed &&
+                      answer.request_id == all_.request.id;
+        not_run_ = answer.not_run;
+        is_signed_ = answer.is_signed;
+    }
+
+    auto receive(std::string const& body) -> void
+    {
+        if (!is_success_)
+        {
+            failure_body_ += body;
+            return;
+        }
+        auto const now = telemetry::monotonic_now();
+        for (auto const& event : splitter_.feed(body))
+        {
+            pass_on(event, now);
+            if (all_.over)
+            {
+                return;
+            }
+        }
+        check_stopped();
+    }
+
+    auto pass_on(raw_event const& event, time_point now) -> void
+    {
+        auto const is_repeat =
+            event.number && last_event_ && *event.number <= *last_event_;
+        if (is_repeat)
+        {
+            return;
+        }
+        auto const is_gap =
+            event.number && last_event_ && *event.number != *last_event_ + 1;
+        if (is_gap)
+        {
+            lose("an event is missing");
+            return;
+        }
+        if (!begun_)
+        {
+            begun_ = true;
+            all_.caller->begin_stream(
+                head_->status, head_->reason, Format::answer_fields(*head_));
+            all_.state.metrics.observe(
+                relay_timing::first_event, now - all_.began);
+            load_.prompt_read();
+            all_.state.load_changed();
+        }
+        else
+        {
+            all_.state.metrics.observe(
+                relay_timing::pause, now - last_event_at_);
+        }
+        note_resumed(now);
+        last_event_at_ = now;
+        last_event_ = event.number;
+        ++events_;
+        all_.state.metrics.add(relay_counter::stream_events);
+        load_.grow(counted_memory(size_, expected_output_, output_tokens()));
+        all_.caller->stream(event.bytes);
+        limit_backlog();
+    }
+
+    /// Notes the pause that a move made, at the first event after it.
+    auto note_resumed(time_point now) -> void
+    {
+        if (phase_ != move_phase::continuing)
+        {
+            return;
+        }
+        phase_ = move_phase::none;
+        all_.state.metrics.add(relay_counter::streams_moved);
+        all_.state.metrics.observe(
+            relay_timing::move_pause, now - last_event_at_);
+        all_.state.log.request(
+            all_.request.id, "went on after a move",
+            {{"replica", target_.id},
+             {"pause", now - last_event_at_},
+             {"events", events_}});
+        if (target_left_)
+        {
+            target_left_ = false;
+            replica_leaves(now);
+        }
+    }
+
+    /// Stops reading from the replica while the caller is behind.
+    auto limit_backlog() -> void
+    {
+        if (all_.caller->unsent() <= most_unsent_bytes || !call_)
+        {
+            return;
+        }
+        call_->pause();
+        all_.caller->on_drained([self = this->shared_from_this()] {
+            if (self->call_)
+            {
+                self->call_->resume();
+            }
+        });
+    }
+
+    auto source_completed() -> void
+    {
+        call_.reset();
+        if (all_.over)
+        {
+            return;
+        }
+        auto const now = telemetry::monotonic_now();
+        if (!is_success_)
+        {
+            not_served(now);
+            return;
+        }
+        if (splitter_.has_partial())
+        {
+            lose("the stream ended within an event");
+            return;
+        }
+        all_.state.replicas.succeeded(target_.id);
+        finish(now);
+    }
+
+    /// The replica answered with something else than a stream.
+    auto not_served(time_point now) -> void
+    {
+        load_.release();
+        if (not_run_)
+        {
+            all_.state.metrics.add(relay_counter::replica_rejections);
+            all_.state.log.request(
+                all_.request.id, "rejected by the replica",
+                {{"replica", target_.id}, {"status", head_->status}});
+            retry_not_run(now);
+            return;
+        }
+        if (begun_)
+        {
+            lose("the run was not continued");
+            return;
+        }
+        auto const is_its_failure = is_signed_ && head_->status >= 300;
+        if (!is_its_failure)
+        {
+            give_up(
+                refusal_reason::no_replica, 502,
+                "the answer is not the replica's answer to this request");
+            return;
+        }
+        end(now);
+        all_.state.metrics.add(relay_counter::answers);
+        all_.caller->respond(
+            head_->status, Format::answer_fields(*head_), failure_body_);
+    }
+
+    auto retry_not_run(time_point now) -> void
+    {
+        if (phase_ == move_phase::continuing)
+        {
+            continue_failed();
+            return;
+        }
+        --all_.runs;
+        if (head_ && head_->status == 421)
+        {
+            all_.state.replicas.failed(target_.id, now);
+        }
+        all_.excluded.insert(target_.id);
+        failure_body_.clear();
+        attempt();
+    }
+
+    auto source_failed(call_failure const& why) -> void
+    {
+        call_.reset();
+        if (all_.over)
+        {
+            return;
+        }
+        auto const now = telemetry::monotonic_now();
+        if (phase_ == move_phase::stopping)
+        {
+            source_ended_ = true;
+            check_stopped();
+            return;
+        }
+        all_.state.replicas.failed(target_.id, now);
+        all_.state.log.request(
+            all_.request.id, "replica lost",
+            {{"replica", target_.id},
+             {"why", why.detail},
+             {"stage", static_cast<int>(why.stage)},
+             {"events", events_}});
+        if (why.stage == call_stage::connecting)
+        {
+            all_.state.metrics.add(relay_counter::connections_failed);
+            if (phase_ == move_phase::continuing)
+            {
+                continue_failed();
+                return;
+            }
+            --all_.sends;
+            retry_not_run(now);
+            return;
+        }
+        lose(why.detail);
+    }
+
+    // Moving to another replica.
+
+    auto begin_move() -> void
+    {
+        auto const now = telemetry::monotonic_now();
+        if (all_.over || move_orders_ >= most_move_orders)
+        {
+            return;
+        }
+        all_.excluded.insert(target_.id);
+        auto const chosen =
+            all_.state.replicas.choose(need(), all_.engine(), now);
+        if (!chosen || !address_of(chosen->target))
+        {
+            all_.state.log.request(
+                all_.request.id, "not moved: no replica takes it",
+                {{"replica", target_.id}});
+            return;
+        }
+        phase_ = move_phase::copying;
+        destination_ = chosen->target;
+        destination_load_.place(destination_.id, need().memory_tokens, 0);
+        all_.state.load_changed();
+        order_copy(false);
+    }
+
+    auto order_copy(bool stop) -> void
+    {
+        ++move_orders_;
+        auto const to = address_of(target_);
+        auto const self = this->shared_from_this();
+        all_.state.log.request(
+            all_.request.id, stop ? "stopped to move" : "copied to move",
+            {{"replica", target_.id},
+             {"to", destination_.id},
+             {"events", events_},
+             {"noticed", telemetry::monotonic_now() - noticed_at_}});
+        order_ = whole_call::start(
+            all_.state.loop, all_.state.pool, *to,
+            Format::write_move(
+                {all_.request.id,
+                 fmt::format("{}:{}", destination_.ip, destination_.port),
+                 stop}),
+            move_call_limit, [self, stop](whole_answer answer) {
+                self->order_answered(stop, answer);
+            });
+    }
+
+    auto order_answered(bool stop, whole_answer const& answer) -> void
+    {
+        order_.reset();
+        if (all_.over)
+        {
+            return;
+        }
+        auto const read = answer ? Format::read_move(*answer) : move_answer{};
+        if (read.outcome != move_outcome::copied)
+        {
+            all_.state.log.request(
+                all_.request.id, "copy not made",
+                {{"replica", target_.id},
+                 {"to", destination_.id},
+                 {"outcome", static_cast<int>(read.outcome)},
+                 {"stop", stop},
+                 {"why", answer ? std::string{} : answer.error().detail}});
+        }
+        if (stop)
+        {
+            stop_answered(read);
+        }
+        else
+        {
+            copy_answered(read);
+        }
+    }
+
+    auto copy_answered(move_answer const& read) -> void
+    {
+        switch (read.outcome)
+        {
+        case move_outcome::copied:
+            schedule_stop();
+            return;
+        case move_outcome::no_room:
+            all_.excluded.insert(destination_.id);
+            cancel_move();
+            again_after(move_retry_delay, [this] { begin_move(); });
+            return;
+        case move_outcome::unknown_run:
+        case move_outcome::in_progress:
+            again_after(move_retry_delay, [this] { retry_copy(); });
+            return;
+        case move_outcome::failed:
+            cancel_move();
+            return;
+        }
+    }
+
+    auto retry_copy() -> void
+    {
+        if (move_orders_ >= most_move_orders)
+        {
+            cancel_move();
+            return;
+        }
+        order_copy(false);
+    }
+
+    auto cancel_move() -> void
+    {
+        phase_ = move_phase::none;
+        destination_load_.release();
+        all_.state.metrics.add(relay_counter::stream_moves_failed);
+    }
+
+    template <class Action>
+    auto again_after(duration delay, Action action) -> void
+    {
+        move_timer_.expires_after(delay);
+        move_timer_.async_wait(
+            [self = this->shared_from_this(), action](std::error_code error) {
+                if (!error && !self->all_.over)
+                {
+                    action();
+                }
+            });
+    }
+
+    /// Stops the run once the first copies of all streams of its replica can
+    /// have been made, so that the last, small one does not queue behind them.
+    auto schedule_stop() -> void
+    {
+        auto const now = telemetry::monotonic_now();
+        auto const traits = all_.engine();
+        auto const tokens =
+            all_.state.replicas.load_of(target_.id, now).memory_tokens;
+        auto const seconds = traits && traits->link_mbps > 0
+                                 ? tokens * traits->bytes_per_token * 8 /
+                                       (traits->link_mbps * 1e6)
+                                 : 0;
+        auto const copies = std::chrono::duration_cast<duration>(
+            std::chrono::duration<double>(seconds));
+        auto const at =
+            noticed_at_ + std::min(copies, latest_stop_after_notice);
+        again_after(std::max(duration{0}, at - now), [this] { stop(); });
+    }
+
+    auto stop() -> void
+    {
+        if (!call_)
+        {
+            cancel_move();
+            return;
+        }
+        phase_ = move_phase::stopping;
+        order_copy(true);
+    }
+
+    auto stop_answered(move_answer const& read) -> void
+    {
+        auto const is_stopped = !read.handle.empty();
+        if (is_stopped)
+        {
+            handle_ = read.handle;
+            stopped_at_events_ = read.events_made;
+            resumes_at_source_ = read.outcome != move_outcome::copied;
+            check_stopped();
+            return;
+        }
+        // The run may have ended by itself; its own stream tells.
+        cancel_move();
+        if (source_ended_)
+        {
+            lose("the run was not stopped in good order");
+        }
+    }
+
+    /// Goes on elsewhere once the run has stopped and its events are here.
+    auto check_stopped() -> void
+    {
+        if (phase_ != move_phase::stopping || handle_.empty())
+        {
+            return;
+        }
+        auto const has_all = last_event_ && *last_event_ >= stopped_at_events_;
+        if (!source_ended_ && !has_all)
+        {
+            return;
+        }
+        if (call_)
+        {
+            call_->cancel();
+            call_.reset();
+        }
+        phase_ = move_phase::continuing;
+        auto const source = target_;
+        auto resumed = continuation{
+            fmt::format("{}:{}/{}", source.ip, source.port, handle_),
+            last_event_.value_or(0)};
+        handle_.clear();
+        destination_load_.release();
+        auto const& next = resumes_at_source_ ? source : destination_;
+        auto const to = address_of(next);
+        send(replica{next}, *to, std::move(resumed));
+    }
+
+    /// The destination did not take the run. It has no other copy.
+    auto continue_failed() -> void
+    {
+        lose("the run was not taken where it moved to");
+    }
+
+    // Ends.
+
+    auto end(time_point now) -> void
+    {
+        all_.over = true;
+        all_.deadline_timer.cancel();
+        move_timer_.cancel();
+        unwatch();
+        load_.release();
+        destination_load_.release();
+        all_.state.load_changed();
+        if (order_)
+        {
+            order_->cancel();
+        }
+        if (call_)
+        {
+            call_->cancel();
+        }
+        if (events_ > 0)
+        {
+            all_.state.output_lengths.record(
+                kind(), {0, output_tokens(), is_complete_}, now);
+        }
+    }
+
+    auto finish(time_point now) -> void
+    {
+        is_complete_ = true;
+        end(now);
+        all_.state.metrics.add(relay_counter::answers);
+        all_.state.metrics.observe(relay_timing::answer, now - all_.began);
+        all_.state.log.request(
+            all_.request.id, "answered",
+            {{"replica", target_.id},
+             {"status", head_->status},
+             {"events", events_},
+             {"after", now - all_.began}});
+        if (!begun_)
+        {
+            all_.caller->begin_stream(
+                head_->status, head_->reason, Format::answer_fields(*head_));
+        }
+        all_.caller->finish_stream();
+    }
+
+    /// Ends a stream that cannot go on, so that it does not look complete.
+    auto lose(std::string_view why) -> void
+    {
+        if (!begun_)
+        {
+            give_up(refusal_reason::no_replica, 502, why);
+            return;
+        }
+        auto const now = telemetry::monotonic_now();
+        end(now);
+        all_.state.metrics.add(relay_counter::streams_lost);
+        all_.state.log.request(
+            all_.request.id, "stream lost",
+            {{"replica", target_.id},
+             {"why", std::string{why}},
+             {"phase", static_cast<int>(phase_)},
+             {"events", events_},
+             {"after", now - all_.began}});
+        all_.caller->abort();
+    }
+
+    /// Ends a request of which the caller has got nothing.
+    auto give_up(refusal_reason why, int status, std::string_view detail)
+        -> void
+    {
+        auto const may_have_run = all_.may_have_run();
+        end(telemetry::monotonic_now());
+        all_.over = false;
+        if (may_have_run)
+        {
+            all_.fail(status, detail);
+        }
+        else
+        {
+            all_.refuse(why);
+        }
+    }
+
+    auto deadline_passed() -> void
+    {
+        if (all_.over)
+        {
+            return;
+        }
+        if (begun_)
+        {
+            lose("the deadline has passed");
+            return;
+        }
+        give_up(refusal_reason::deadline, 504, "no answer in time");
+    }
+
+    auto caller_gone() -> void
+    {
+        if (all_.over)
+        {
+            return;
+        }
+        auto const now = telemetry::monotonic_now();
+        end(now);
+        all_.state.metrics.add(relay_counter::callers_gone);
+        all_.state.log.request(
+            all_.request.id, "caller left",
+            {{"replica", target_.id},
+             {"events", events_},
+             {"after", now - all_.began}});
+    }
+
+    exchange all_;
+    stream_load load_;
+    stream_load destination_load_{all_.state.replicas};
+    asio::steady_timer move_timer_;
+    generation_size size_;
+    double expected_output_;
+    std::shared_ptr<upstream_call> call_;
+    std::shared_ptr<whole_call> order_;
+    replica target_;
+    replica destination_;
+    std::optional<http::response_head> head_;
+    event_splitter splitter_;
+    std::string failure_body_;
+    std::optional<std::uint64_t> last_event_;
+    time_point last_event_at_{};
+    time_point noticed_at_{};
+    std::uint64_t events_ = 0;
+    std::uint64_t stopped_at_events_ = 0;
+    std::string handle_;
+    int move_orders_ = 0;
+    move_phase phase_ = move_phase::none;
+    bool is_success_ = false;
+    bool is_signed_ = false;
+    bool not_run_ = false;
+    bool begun_ = false;
+    bool source_ended_ = false;
+    bool resumes_at_source_ = false;
+    bool target_left_ = false;
+    bool is_complete_ = false;
+};
+
+} // namespace sapphirereel::relay
+
+#endif
--- /dev/null
+++ b/packages/relay/include/sapphirereel/relay/upstream_call.hpp
@@ -0,0 +1,152 @@
+/// \file
+/// Defines one HTTP call to another process and the pool of connections that
+/// carry such calls.
+#ifndef SAPPHIREREEL_RELAY_UPSTREAM_CALL_HPP
+#define SAPPHIREREEL_RELAY_UPSTREAM_CALL_HPP
+
+#include "sapphirereel/core/clock.hpp"
+#include "sapphirereel/http/response_parser.hpp"
+#include "sapphirereel/relay/connection.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace sapphirereel::relay {
+
+/// How far a call got before it failed.
+enum class call_stage
+{
+    /// No connection stood: nothing was sent.
+    connecting,
+    /// The request was sent, wholly or in part, and no answer began.
+    waiting,
+    /// The answer began and did not end.
+    answering
+};
+
+/// Why a call failed.
+struct call_failure
+{
+    call_stage stage = call_stage::connecting;
+    std::string detail;
+    auto operator<=>(call_failure const&) const = default;
+};
+
+/// How a call may use the pool.
+struct call_options
+{
+    /// Longest time that a connection may have been idle to be used again; 0
+    /// asks for a new one.
+    duration most_idle{std::chrono::seconds{4}};
+    /// Until a new connection stands.
+    duration connect_limit{std::chrono::milliseconds{300}};
+    /// Whether the request is a HEAD.
+    bool to_head = false;
+    auto operator<=>(call_options const&) const = default;
+};
+
+class upstream_pool;
+
+/// One call. Handlers run on the event loop; none runs after `cancel`, after
+/// `completed` or after `failed`.
+class upstream_call : public std::enable_shared_from_this<upstream_call>
+{
+public:
+    struct handlers
+    {
+        std::function<void(http::response_head const&)> answered;
+        std::function<void(std::string)> body;
+        std::function<void()> completed;
+        std::function<void(call_failure const&)> failed;
+    };
+
+    /// Gives the call up; closes its connection.
+    auto cancel() -> void;
+
+    /// Stops and resumes reading, for a receiver that is slower.
+    auto pause() -> void;
+    auto resume() -> void;
+
+private:
+    friend class upstream_pool;
+
+    upstream_call(
+        upstream_pool& pool,
+        asio::ip::tcp::endpoint const& to,
+        std::string bytes,
+        call_options const& options,
+        handlers told);
+
+    auto begin(std::shared_ptr<connection> over) -> void;
+    auto receive(std::string_view bytes) -> void;
+    auto end(connection_end how) -> void;
+    auto deliver_body() -> void;
+    auto complete() -> void;
+    auto fail(call_stage stage, std::string detail) -> void;
+
+    upstream_pool* pool_;
+    asio::ip::tcp::endpoint to_;
+    std::string bytes_;
+    call_options options_;
+    handlers handlers_;
+    std::shared_ptr<connection> connection_;
+    http::response_parser parser_;
+    bool head_told_ = false;
+    bool over_ = false;
+};
+
+/// Connections to other processes, by address. A connection is kept only if
+/// the whole request was sent, the whole answer was read, nothing followed and
+/// neither side asked to close.
+class upstream_pool
+{
+public:
+    explicit upstream_pool(asio::io_context& loop);
+
+    /// Sends a request and returns its call.
+    auto start(
+        asio::ip::tcp::endpoint const& to,
+        std::string bytes,
+        call_options const& options,
+        upstream_call::handlers told) -> std::shared_ptr<upstream_call>;
+
+    /// Closes the idle connections to an address.
+    auto forget(asio::ip::tcp::endpoint const& to) -> void;
+
+    /// Closes connections that have been idle for too long.
+    auto expire(time_point now) -> void;
+
+    /// Connections opened so far.
+    [[nodiscard]] auto opened() const -> std::uint64_t
+    {
+        return opened_;
+    }
+
+private:
+    friend class upstream_call;
+
+    struct idle_connection
+    {
+        std::shared_ptr<connection> held;
+        time_point since;
+        duration limit;
+    };
+
+    auto take_idle(asio::ip::tcp::endpoint const& to, duration most_idle)
+        -> std::shared_ptr<connection>;
+    auto keep(
+        asio::ip::tcp::endpoint const& to,
+        std::shared_ptr<connection> const& held,
+        http::response_head const& head) -> void;
+
+    asio::io_context& loop_;
+    std::map<asio::ip::tcp::endpoint, std::deque<idle_connection>> idle_;
+    std::uint64_t opened_ = 0;
+};
+
+} // namespace sapphirereel::relay
+
+#endif
--- /dev/null
+++ b/packages/relay/src/caller_session.cpp
@@ -0,0 +1,240 @@
+#include "sapphirereel/relay/caller_session.hpp"
+
+#include <utility>
+
+namespace sapphirereel::relay {
+namespace {
+
+/// Bytes of later requests that are read while one is served.
+constexpr auto most_waiting_bytes = std::size_t{65'536};
+
+} // namespace
+
+caller_session::caller_session(
+    std::shared_ptr<connection> over,
+    asio::steady_timer timer,
+    limits_source limits,
+    request_handler on_request)
+    : connection_(std::move(over))
+    , timer_(std::move(timer))
+    , limits_(std::move(limits))
+    , on_request_(std::move(on_request))
+{}
+
+auto caller_session::start(
+    asio::ip::tcp::socket socket,
+    limits_source limits,
+    request_handler on_request) -> std::shared_ptr<caller_session>
+{
+    auto timer = asio::steady_timer{socket.get_executor()};
+    auto const self = std::shared_ptr<caller_session>{new caller_session{
+        connection::adopt(std::move(socket)), std::move(timer),
+        std::move(limits), std::move(on_request)}};
+    self->begin();
+    return self;
+}
+
+auto caller_session::begin() -> void
+{
+    auto const self = shared_from_this();
+    connection_->set_handlers(
+        {[self](std::string_view bytes) { self->receive(bytes); },
+         [self](connection_end) { self->ended(); },
+         [self] {
+             if (self->drained_)
+             {
+                 self->drained_();
+             }
+         }});
+    arm_timer();
+    connection_->read();
+}
+
+auto caller_session::receive(std::string_view bytes) -> void
+{
+    parser_.append(bytes);
+    if (busy_)
+    {
+        if (parser_.waiting_bytes() > most_waiting_bytes)
+        {
+            connection_->pause();
+        }
+        return;
+    }
+    serve_next();
+}
+
+auto caller_session::serve_next() -> void
+{
+    auto const limits = limits_();
+    parser_.set_limits(limits.message);
+    auto next = parser_.next();
+    if (!next)
+    {
+        reject(next.error());
+        return;
+    }
+    if (parser_.take_continue_wanted())
+    {
+        connection_->send("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    if (!*next)
+    {
+        auto const head_begins = parser_.has_partial() && !timing_head_;
+        if (head_begins)
+        {
+            arm_timer();
+        }
+        return;
+    }
+    busy_ = true;
+    timing_head_ = false;
+    timer_.cancel();
+    keep_alive_ = (*next)->keep_alive && !stopping_;
+    on_request_(shared_from_this(), std::move(**next));
+}
+
+auto caller_session::arm_timer() -> void
+{
+    auto const limits = limits_();
+    timing_head_ = parser_.has_partial();
+    timer_.expires_after(
+        timing_head_ ? limits.head_timeout : limits.idle_timeout);
+    timer_.async_wait([weak = weak_from_this()](std::error_code error) {
+        auto const self = weak.lock();
+        if (!error && self && !self->busy_)
+        {
+            self->timed_out();
+        }
+    });
+}
+
+auto caller_session::timed_out() -> void
+{
+    if (timing_head_)
+    {
+        reject({408, "the request did not arrive in time"});
+        return;
+    }
+    connection_->close_gently();
+}
+
+auto caller_session::reject(http::request_error const& error) -> void
+{
+    keep_alive_ = false;
+    busy_ = true;
+    respond(error.status, {{"Content-Type", "text/plain"}}, error.detail);
+}
+
+auto caller_session::connection_fields(http::field_list& fields) const -> void
+{
+    if (!keep_alive_ || stopping_)
+    {
+        fields.push_back({"Connection", "close"});
+    }
+}
+
+auto caller_session::respond(
+    int status, http::field_list fields, std::string_view body) -> void
+{
+    connection_fields(fields);
+    keep_alive_ = keep_alive_ && !stopping_;
+    connection_->send(http::write_response(status, std::move(fields), body));
+    answered();
+}
+
+auto caller_session::begin_stream(
+    int status, std::string_view reason, http::field_list fields) -> void
+{
+    connection_fields(fields);
+    keep_alive_ = keep_alive_ && !stopping_;
+    fields.push_back({"Transfer-Encoding", "chunked"});
+    connection_->send(http::write_head(status, reason, fields));
+}
+
+auto caller_session::stream(std::string_view bytes) -> void
+{
+    connection_->send(http::write_chunk(bytes));
+}
+
+auto caller_session::finish_stream() -> void
+{
+    connection_->send(std::string{http::last_chunk});
+    answered();
+}
+
+auto caller_session::answered() -> void
+{
+    gone_ = {};
+    drained_ = {};
+    busy_ = false;
+    if (!keep_alive_)
+    {
+        timer_.cancel();
+        connection_->close_gently();
+        return;
+    }
+    arm_timer();
+    connection_->read();
+    if (parser_.waiting_bytes() > 0)
+    {
+        // On the loop: the exchange that answered is still on the stack.
+        auto const executor = timer_.get_executor();
+        asio::post(executor, [self = shared_from_this()] {
+            if (!self->busy_ && self->connection_->is_open())
+            {
+                self->serve_next();
+            }
+        });
+    }
+}
+
+auto caller_session::abort() -> void
+{
+    gone_ = {};
+    drained_ = {};
+    timer_.cancel();
+    connection_->close();
+}
+
+auto caller_session::stop() -> void
+{
+    stopping_ = true;
+    if (!busy_ && !parser_.has_partial())
+    {
+        timer_.cancel();
+        connection_->close_gently();
+    }
+}
+
+auto caller_session::ended() -> void
+{
+    timer_.cancel();
+    drained_ = {};
+    if (auto const told = std::exchange(gone_, {}))
+    {
+        told();
+    }
+}
+
+auto caller_session::on_gone(std::function<void()> told) -> void
+{
+    gone_ = std::move(told);
+}
+
+auto caller_session::on_drained(std::function<void()> told) -> void
+{
+    drained_ = std::move(told);
+}
+
+auto caller_session::unsent() const -> std::size_t
+{
+    return connection_->unsent();
+}
+
+auto caller_session::is_open() const -> bool
+{
+    return connection_->is_open();
+}
+
+} // namespace sapphirereel::relay
--- /dev/null
+++ b/packages/relay/src/connection.cpp
@@ -0,0 +1,278 @@
+#include "sapphirereel/relay/connection.hpp"
+
+#include <array>
+#include <asio/post.hpp>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <utility>
+
+namespace sapphirereel::relay {
+namespace {
+
+/// Bytes read by one call.
+constexpr auto read_size = std::size_t{32'768};
+
+/// Time after which unacknowledged bytes break a connection, in milliseconds.
+constexpr auto unacknowledged_limit_ms = 2'500;
+
+/// Idle time before the first keep-alive probe and between probes, in seconds.
+constexpr auto probe_interval_s = 1;
+
+/// Unanswered probes that break a connection.
+constexpr auto probe_count = 3;
+
+/// Time for which input is dropped after the last bytes were written.
+constexpr auto linger_time = std::chrono::milliseconds{500};
+
+auto set_option(int socket, int level, int name, int value) -> void
+{
+    // A kernel without the option still serves; silence is then found later.
+    std::ignore = ::setsockopt(socket, level, name, &value, sizeof value);
+}
+
+auto tune(asio::ip::tcp::socket& socket) -> void
+{
+    auto ignored = std::error_code{};
+    socket.non_blocking(true, ignored);
+    auto const raw = socket.native_handle();
+    set_option(raw, IPPROTO_TCP, TCP_NODELAY, 1);
+    set_option(raw, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_limit_ms);
+    set_option(raw, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_option(raw, IPPROTO_TCP, TCP_KEEPIDLE, probe_interval_s);
+    set_option(raw, IPPROTO_TCP, TCP_KEEPINTVL, probe_interval_s);
+    set_option(raw, IPPROTO_TCP, TCP_KEEPCNT, probe_count);
+}
+
+} // namespace
+
+connection::connection(asio::ip::tcp::socket socket)
+    : socket_(std::move(socket))
+    , lingering_(socket_.get_executor())
+{
+    tune(socket_);
+}
+
+connection::~connection() = default;
+
+auto connection::adopt(asio::ip::tcp::socket socket)
+    -> std::shared_ptr<connection>
+{
+    return std::shared_ptr<connection>{new connection{std::move(socket)}};
+}
+
+auto connection::connect(
+    asio::io_context& loop,
+    asio::ip::tcp::endpoint const& to,
+    duration limit,
+    connect_handler done) -> void
+{
+    auto const socket = std::make_shared<asio::ip::tcp::socket>(loop);
+    auto const timer = std::make_shared<asio::steady_timer>(loop, limit);
+    timer->async_wait([socket](std::error_code error) {
+        if (!error)
+        {
+            auto ignored = std::error_code{};
+            socket->close(ignored);
+        }
+    });
+    socket->async_connect(
+        to, [socket, timer, done = std::move(done)](std::error_code error) {
+            timer->cancel();
+            if (!error && !socket->is_open())
+            {
+                error = asio::error::timed_out;
+            }
+            done(error ? nullptr : adopt(std::move(*socket)), error);
+        });
+}
+
+auto connection::set_handlers(handlers to) -> void
+{
+    handlers_ = std::move(to);
+}
+
+auto connection::read() -> void
+{
+    reading_ = true;
+    wait_readable();
+}
+
+auto connection::pause() -> void
+{
+    reading_ = false;
+}
+
+auto connection::wait_readable() -> void
+{
+    if (waiting_readable_ || !socket_.is_open())
+    {
+        return;
+    }
+    waiting_readable_ = true;
+    socket_.async_wait(
+        asio::ip::tcp::socket::wait_read,
+        [self = shared_from_this()](std::error_code error) {
+            self->waiting_readable_ = false;
+            if (!error && self->socket_.is_open())
+            {
+                self->read_available();
+            }
+        });
+}
+
+auto connection::read_available() -> void
+{
+    static auto buffer = std::array<char, read_size>{};
+    if (!reading_ && !closing_)
+    {
+        return;
+    }
+    auto error = std::error_code{};
+    auto const size =
+        socket_.read_some(asio::buffer(buffer.data(), buffer.size()), error);
+    if (error == asio::error::would_block || error == asio::error::interrupted)
+    {
+        wait_readable();
+        return;
+    }
+    if (error)
+    {
+        end(error == asio::error::eof ? connection_end::closed
+                                      : connection_end::broken);
+        return;
+    }
+    if (!closing_ && handlers_.received)
+    {
+        // A copy of the handler: it may replace the handlers while it runs.
+        auto const received = handlers_.received;
+        received(std::string_view{buffer.data(), size});
+    }
+    if (socket_.is_open() && (reading_ || closing_))
+    {
+        wait_readable();
+    }
+}
+
+auto connection::send(std::string bytes) -> void
+{
+    if (!socket_.is_open() || closing_ || bytes.empty())
+    {
+        return;
+    }
+    pending_ = pending_.empty() ? std::move(bytes) : pending_ + bytes;
+    if (!waiting_writable_)
+    {
+        write_pending();
+    }
+}
+
+auto connection::write_pending() -> void
+{
+    while (written_ < pending_.size())
+    {
+        auto error = std::error_code{};
+        auto const rest = asio::buffer(
+            pending_.data() + written_, pending_.size() - written_);
+        auto const size = socket_.write_some(rest, error);
+        if (error == asio::error::would_block)
+        {
+            waiting_writable_ = true;
+            socket_.async_wait(
+                asio::ip::tcp::socket::wait_write,
+                [self = shared_from_this()](std::error_code failed) {
+                    self->waiting_writable_ = false;
+                    if (!failed && self->socket_.is_open())
+                    {
+                        self->write_pending();
+                    }
+                });
+            return;
+        }
+        if (error)
+        {
+            // Told on the loop, since the sender may hold state that the
+            // handler ends.
+            asio::post(socket_.get_executor(), [self = shared_from_this()] {
+                self->end(connection_end::broken);
+            });
+            return;
+        }
+        written_ += size;
+    }
+    pending_.clear();
+    written_ = 0;
+    if (closing_)
+    {
+        finish_gently();
+    }
+    else if (handlers_.drained)
+    {
+        auto const drained = handlers_.drained;
+        drained();
+    }
+}
+
+auto connection::unsent() const -> std::size_t
+{
+    return pending_.size() - written_;
+}
+
+auto connection::close_gently() -> void
+{
+    if (closing_ || !socket_.is_open())
+    {
+        return;
+    }
+    closing_ = true;
+    handlers_ = {};
+    wait_readable();
+    if (pending_.empty())
+    {
+        finish_gently();
+    }
+}
+
+auto connection::finish_gently() -> void
+{
+    auto ignored = std::error_code{};
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    lingering_.expires_after(linger_time);
+    lingering_.async_wait([self = shared_from_this()](std::error_code error) {
+        if (!error)
+        {
+            self->close();
+        }
+    });
+}
+
+auto connection::close() -> void
+{
+    handlers_ = {};
+    lingering_.cancel();
+    auto ignored = std::error_code{};
+    socket_.close(ignored);
+}
+
+auto connection::is_open() const -> bool
+{
+    return socket_.is_open() && !closing_;
+}
+
+auto connection::has_input() -> bool
+{
+    auto byte = char{};
+    return ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) >=
+           0;
+}
+
+auto connection::end(connection_end how) -> void
+{
+    auto const ended = std::move(handlers_.ended);
+    close();
+    if (ended)
+    {
+        ended(how);
+    }
+}
+
+} // namespace sapphirereel::relay
--- /dev/null
+++ b/packages/relay/src/exchange.cpp
@@ -0,0 +1,140 @@
+#include "sapphirereel/relay/exchange.hpp"
+
+namespace sapphirereel::relay {
+
+exchange::exchange(
+    relay_state& shared,
+    std::shared_ptr<caller_session> from,
+    caller_request asked,
+    grant terms)
+    : state(shared)
+    , caller(std::move(from))
+    , request(std::move(asked))
+    , granted(std::move(terms))
+    , service(pick_service())
+    , began(telemetry::monotonic_now())
+    , deadline_timer(shared.loop)
+{
+    ++state.active;
+    state.metrics.add(relay_counter::requests);
+    state.retries_of(service).requested(began);
+}
+
+exchange::~exchange()
+{
+    --state.active;
+}
+
+auto exchange::pick_service() -> service_name
+{
+    auto const& shares = granted.route->services;
+    auto total = 0.0;
+    for (auto const& share : shares)
+    {
+        total += share.weight;
+    }
+    auto left = std::uniform_real_distribution<double>{0, total}(state.random);
+    for (auto const& share : shares)
+    {
+        left -= share.weight;
+        if (left < 0)
+        {
+            return share.service;
+        }
+    }
+    return shares.empty() ? service_name{} : shares.back().service;
+}
+
+auto exchange::engine() const -> std::optional<engine_traits>
+{
+    auto const* const found = granted.table->find_service(service);
+    return found == nullptr ? std::nullopt : found->engine;
+}
+
+auto exchange::may_send_again(time_point now) -> bool
+{
+    if (sends == 0)
+    {
+        return true;
+    }
+    auto const covered =
+        state.retries_of(service).try_spend(state.daemons, now);
+    if (covered)
+    {
+        state.metrics.add(relay_counter::retries);
+    }
+    return covered;
+}
+
+auto exchange::refuse(refusal_reason why) -> void
+{
+    if (std::exchange(over, true))
+    {
+        return;
+    }
+    deadline_timer.cancel();
+    auto const base = std::chrono::duration<double, std::micro>(
+        granted.route->target_latency * retry_after_share);
+    auto const jitter =
+        std::uniform_real_distribution<double>{1, 2}(state.random);
+    auto const wait = std::min(
+        longest_retry_after,
+        std::chrono::duration_cast<duration>(base * jitter));
+    send_refusal(*caller, {why, 503, wait}, request.id, state);
+}
+
+auto exchange::fail(int status, std::string_view why) -> void
+{
+    if (std::exchange(over, true))
+    {
+        return;
+    }
+    deadline_timer.cancel();
+    state.metrics.add(relay_counter::failures);
+    state.log.request(
+        request.id, "failed",
+        {{"status", status},
+         {"why", std::string{why}},
+         {"sends", sends},
+         {"after", telemetry::monotonic_now() - began}});
+    caller->respond(status, {{"Content-Type", "text/plain"}}, why);
+}
+
+auto send_refusal(
+    caller_session& caller,
+    refusal const& why,
+    std::string_view request_id,
+    relay_state& state) -> void
+{
+    state.metrics.refused(why.reason);
+    auto fields = http::field_list{{"Content-Type", "text/plain"}};
+    auto logged = std::vector<telemetry::log_field>{
+        {"status", why.status}, {"reason", std::string{name_of(why.reason)}}};
+    if (state.table)
+    {
+        logged.emplace_back(
+            "configuration", state.table->configuration().version);
+    }
+    if (why.retry_after)
+    {
+        auto const seconds =
+            std::chrono::duration<double>(*why.retry_after).count();
+        fields.push_back({"Retry-After", fmt::format("{:.2f}", seconds)});
+        logged.emplace_back("retry_after", *why.retry_after);
+    }
+    state.log.request(request_id, "refused, not run", std::move(logged));
+    caller.respond(why.status, std::move(fields), name_of(why.reason));
+}
+
+auto address_of(replica const& target) -> std::optional<asio::ip::tcp::endpoint>
+{
+    auto error = std::error_code{};
+    auto const ip = asio::ip::make_address(target.ip, error);
+    if (error)
+    {
+        return std::nullopt;
+    }
+    return asio::ip::tcp::endpoint{ip, target.port};
+}
+
+} // namespace sapphirereel::relay
--- /dev/null
+++ b/packages/relay/src/peer_report.cpp
@@ -0,0 +1,104 @@
+#include "sapphirereel/relay/peer_report.hpp"
+
+#include "sapphirereel/codec/bounded_json.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace sapphirereel::relay {
+namespace {
+
+using nlohmann::json;
+
+/// Form of the datagram; others are dropped.
+constexpr auto report_form = 1;
+
+/// Fields of a report, in their order in the datagram.
+enum field_position : std::size_t
+{
+    form_at,
+    ip_at,
+    incarnation_at,
+    sequence_at,
+    caller_address_at,
+    zone_at,
+    takes_callers_at,
+    configuration_next_at,
+    replicas_next_at,
+    leaving_at,
+    load_at,
+    known_at,
+    field_count
+};
+
+} // namespace
+
+auto write_peer_report(peer_report const& report) -> std::string
+{
+    auto leaving = json::array();
+    for (auto const& each : report.leaving)
+    {
+        leaving.push_back(json::array({each.id.str(), each.offset}));
+    }
+    auto load = json::array();
+    for (auto const& [id, each] : report.load)
+    {
+        load.push_back(json::array(
+            {id.str(), each.requests,
+             static_cast<std::uint64_t>(each.memory_tokens),
+             static_cast<std::uint64_t>(each.unread_tokens)}));
+    }
+    auto const fields = json::array(
+        {report_form, report.ip, report.incarnation, report.sequence,
+         report.caller_address, report.zone.str(), report.takes_callers,
+         report.configuration_next, report.replicas_next, std::move(leaving),
+         std::move(load), report.known});
+    auto bytes = std::string{};
+    json::to_msgpack(fields, bytes);
+    return bytes;
+}
+
+auto read_peer_report(std::string_view bytes) -> std::optional<peer_report>
+{
+    auto const parsed = codec::parse_bounded_msgpack(bytes);
+    auto const is_report = parsed && parsed->is_array() &&
+                           parsed->size() == field_count &&
+                           (*parsed)[form_at] == report_form;
+    if (!is_report)
+    {
+        return std::nullopt;
+    }
+    try
+    {
+        auto const& fields = *parsed;
+        auto report = peer_report{};
+        report.ip = fields[ip_at].get<std::string>();
+        report.incarnation = fields[incarnation_at].get<std::uint64_t>();
+        report.sequence = fields[sequence_at].get<std::uint64_t>();
+        report.caller_address = fields[caller_address_at].get<std::string>();
+        report.zone = zone_name{fields[zone_at].get<std::string>()};
+        report.takes_callers = fields[takes_callers_at].get<bool>();
+        report.configuration_next =
+            fields[configuration_next_at].get<std::uint64_t>();
+        report.replicas_next = fields[replicas_next_at].get<std::uint64_t>();
+        for (auto const& each : fields[leaving_at])
+        {
+            report.leaving.push_back(
+                {endpoint_id{each.at(0).get<std::string>()},
+                 each.at(1).get<std::uint64_t>()});
+        }
+        for (auto const& each : fields[load_at])
+        {
+            report.load[endpoint_id{each.at(0).get<std::string>()}] = {
+                each.at(1).get<std::uint32_t>(), each.at(2).get<double>(),
+                each.at(3).get<double>()};
+        }
+        report.known = fields[known_at].get<std::vector<std::string>>();
+        return report;
+    }
+    catch (json::exception const&)
+    {
+        return std::nullopt;
+    }
+}
+
+} // namespace sapphirereel::relay
--- /dev/null
+++ b/packages/relay/src/relay_metrics.cpp
@@ -0,0 +1,97 @@
+#include "sapphirereel/relay/relay_metrics.hpp"
+
+#include <fmt/format.h>
+#include <string_view>
+
+namespace sapphirereel::relay {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Bounds of the buckets of every histogram.
+constexpr auto bounds = std::array<duration, 11>{
+    milliseconds{5},     milliseconds{20},    milliseconds{50},
+    milliseconds{100},   milliseconds{150},   milliseconds{180},
+    milliseconds{400},   milliseconds{1'000}, milliseconds{1'800},
+    milliseconds{6'000}, milliseconds{39'000}};
+
+constexpr auto counter_names = std::array<
+    std::string_view,
+    static_cast<std::size_t>(relay_counter::count_of_counters)>{
+    "requests",
+    "answers",
+    "failures",
+    "callers_gone",
+    "retries",
+    "connections_failed",
+    "replica_rejections",
+    "stream_events",
+    "streams_moved",
+    "stream_moves_failed",
+    "streams_lost",
+    "store_calls",
+    "store_failures",
+    "peer_reports_sent",
+    "peer_reports_received",
+    "peer_fetches"};
+
+constexpr auto timing_names = std::array<
+    std::string_view,
+    static_cast<std::size_t>(relay_timing::count_of_timings)>{
+    "answer_seconds", "first_event_seconds", "pause_seconds",
+    "move_pause_seconds"};
+
+} // namespace
+
+relay_metrics::relay_metrics()
+    : timings_{
+          telemetry::metrics_histogram{bounds},
+          telemetry::metrics_histogram{bounds},
+          telemetry::metrics_histogram{bounds},
+          telemetry::metrics_histogram{bounds}}
+{}
+
+auto relay_metrics::add(relay_counter which, std::uint64_t amount) -> void
+{
+    counters_[static_cast<std::size_t>(which)] += amount;
+}
+
+auto relay_metrics::refused(refusal_reason why) -> void
+{
+    ++refusals_[static_cast<std::size_t>(why)];
+}
+
+auto relay_metrics::observe(relay_timing which, duration length) -> void
+{
+    timings_[static_cast<std::size_t>(which)].observe(length);
+}
+
+auto relay_metrics::value(relay_counter which) const -> std::uint64_t
+{
+    return counters_[static_cast<std::size_t>(which)];
+}
+
+auto relay_metrics::page() const -> std::string
+{
+    auto text = std::string{};
+    for (auto at = std::size_t{0}; at < counters; ++at)
+    {
+        text += fmt::format(
+            "sapphirereel_relay_{}_total {}\n", counter_names[at],
+            counters_[at]);
+    }
+    for (auto at = std::size_t{0}; at < reasons; ++at)
+    {
+        text += fmt::format(
+            "sapphirereel_relay_refusals_total{{reason=\"{}\"}} {}\n",
+            name_of(static_cast<refusal_reason>(at)), refusals_[at]);
+    }
+    for (auto at = std::size_t{0}; at < timing_names.size(); ++at)
+    {
+        text += timings_[at].lines(
+            fmt::format("sapphirereel_relay_{}", timing_names[at]));
+    }
+    return text;
+}
+
+} // namespace sapphirereel::relay
--- /dev/null
+++ b/packages/relay/src/stream_load.cpp
@@ -0,0 +1,94 @@
+#include "sapphirereel/relay/stream_load.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sapphirereel::relay {
+namespace {
+
+/// Furthest output that an expectation looks ahead to, in tokens.
+constexpr auto horizon_tokens = 4'096.0;
+
+/// Level of the quantile that the curve computes beside the mean.
+constexpr auto quantile_level = 0.5;
+
+/// Weight of the caller's hint against what was learned.
+constexpr auto hint_weight = 0.4;
+
+/// Share of the output still expected that counts as memory: streams end at
+/// different times, so that not all of it is ever needed at once.
+constexpr auto growth_share = 0.6;
+
+/// Change of memory that is worth counting, in tokens.
+constexpr auto least_change = 64.0;
+
+} // namespace
+
+auto expected_output(length_curve const& learned, generation_size const& asked)
+    -> double
+{
+    auto const mean = learned.remaining(0, horizon_tokens, quantile_level).mean;
+    auto const guess =
+        asked.hinted_output
+            ? (1 - hint_weight) * mean + hint_weight * *asked.hinted_output
+            : mean;
+    return asked.most_output > 0 ? std::min(guess, asked.most_output) : guess;
+}
+
+auto counted_memory(
+    generation_size const& asked, double expected, double output_tokens)
+    -> double
+{
+    auto const still_expected = std::max(0.0, expected - output_tokens);
+    return asked.prompt + output_tokens + growth_share * still_expected;
+}
+
+stream_load::stream_load(replica_table& table)
+    : table_(&table)
+{}
+
+stream_load::~stream_load()
+{
+    release();
+}
+
+auto stream_load::place(
+    endpoint_id const& at, double memory_tokens, double unread_tokens) -> void
+{
+    release();
+    at_ = at;
+    counted_ = {1, memory_tokens, unread_tokens};
+    table_->add(at_, counted_);
+}
+
+auto stream_load::prompt_read() -> void
+{
+    if (counted_.unread_tokens > 0)
+    {
+        auto const memory = counted_.memory_tokens;
+        auto const at = at_;
+        place(at, memory, 0);
+    }
+}
+
+auto stream_load::grow(double memory_tokens) -> void
+{
+    auto const change = memory_tokens - counted_.memory_tokens;
+    if (counted_.requests > 0 && std::abs(change) >= least_change)
+    {
+        auto const unread = counted_.unread_tokens;
+        auto const at = at_;
+        place(at, memory_tokens, unread);
+    }
+}
+
+auto stream_load::release() -> void
+{
+    if (counted_.requests > 0)
+    {
+        table_->remove(at_, counted_);
+        counted_ = {};
+    }
+}
+
+} // namespace sapphirereel::relay
--- /dev/null
+++ b/packages/relay/src/upstream_call.cpp
@@ -0,0 +1,328 @@
+#include "sapphirereel/relay/upstream_call.hpp"
+
+#include "sapphirereel/telemetry/clocks.hpp"
+
+#include <algorithm>
+#include <asio/post.hpp>
+#include <charconv>
+#include <utility>
+
+namespace sapphirereel::relay {
+namespace {
+
+/// Longest time that a connection is kept idle.
+constexpr auto longest_idle = duration{std::chrono::seconds{10}};
+
+/// Time before the other side's idle limit at which a connection is no longer
+/// used, so that a request does not cross its close.
+constexpr auto idle_margin = duration{std::chrono::milliseconds{600}};
+
+/// Idle connections kept for one address.
+constexpr auto most_idle_connections = std::size_t{16};
+
+/// The idle limit that an answer states, or the longest.
+auto stated_idle_limit(http::response_head const& head) -> duration
+{
+    auto const stated = http::find(head.fields, "keep-alive");
+    if (!stated)
+    {
+        return longest_idle;
+    }
+    auto const at = stated->find("timeout=");
+    if (at == std::string_view::npos)
+    {
+        return longest_idle;
+    }
+    auto const digits =
+        stated->substr(at + std::string_view{"timeout="}.size());
+    auto seconds = 0;
+    std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    auto const limit = duration{std::chrono::seconds{seconds}} - idle_margin;
+    return std::clamp(limit, duration{0}, longest_idle);
+}
+
+} // namespace
+
+upstream_call::upstream_call(
+    upstream_pool& pool,
+    asio::ip::tcp::endpoint const& to,
+    std::string bytes,
+    call_options const& options,
+    handlers told)
+    : pool_(&pool)
+    , to_(to)
+    , bytes_(std::move(bytes))
+    , options_(options)
+    , handlers_(std::move(told))
+    , parser_(options.to_head)
+{}
+
+auto upstream_call::begin(std::shared_ptr<connection> over) -> void
+{
+    connection_ = std::move(over);
+    auto const self = shared_from_this();
+    connection_->set_handlers(
+        {[self](std::string_view bytes) { self->receive(bytes); },
+         [self](connection_end how) { self->end(how); },
+         {}});
+    connection_->read();
+    connection_->send(std::move(bytes_));
+}
+
+auto upstream_call::receive(std::string_view bytes) -> void
+{
+    auto const fed = parser_.feed(bytes);
+    if (!fed)
+    {
+        fail(call_stage::answering, fed.error());
+        return;
+    }
+    deliver_body();
+    if (!over_ && parser_.complete())
+    {
+        complete();
+    }
+}
+
+auto upstream_call::deliver_body() -> void
+{
+    if (!head_told_ && parser_.head())
+    {
+        head_told_ = true;
+        if (handlers_.answered)
+        {
+            handlers_.answered(*parser_.head());
+        }
+    }
+    if (over_ || !head_told_)
+    {
+        return;
+    }
+    auto body = parser_.take_body();
+    if (!body.empty() && handlers_.body)
+    {
+        handlers_.body(std::move(body));
+    }
+}
+
+auto upstream_call::end(connection_end how) -> void
+{
+    if (over_)
+    {
+        return;
+    }
+    if (how == connection_end::closed && parser_.ends_with_connection())
+    {
+        parser_.feed_end();
+        if (parser_.complete())
+        {
+            complete();
+            return;
+        }
+    }
+    fail(
+        parser_.head() ? call_stage::answering : call_stage::waiting,
+        how == connection_end::closed ? "the connection was closed"
+                                      : "the connection broke");
+}
+
+auto upstream_call::complete() -> void
+{
+    over_ = true;
+    auto const& head = *parser_.head();
+    auto const held = std::exchange(connection_, nullptr);
+    auto const reusable = head.keep_alive && !parser_.has_excess() &&
+                          !parser_.ends_with_connection() && held->is_open() &&
+                          held->unsent() == 0;
+    if (reusable)
+    {
+        pool_->keep(to_, held, head);
+    }
+    else
+    {
+        held->close();
+    }
+    auto const told = std::exchange(handlers_, {});
+    if (told.completed)
+    {
+        told.completed();
+    }
+}
+
+auto upstream_call::fail(call_stage stage, std::string detail) -> void
+{
+    if (std::exchange(over_, true))
+    {
+        return;
+    }
+    if (auto const held = std::exchange(connection_, nullptr))
+    {
+        held->close();
+    }
+    auto const told = std::exchange(handlers_, {});
+    if (told.failed)
+    {
+        told.failed({stage, std::move(detail)});
+    }
+}
+
+auto upstream_call::cancel() -> void
+{
+    over_ = true;
+    // The handlers may own the caller of this function.
+    auto const told = std::exchange(handlers_, {});
+    if (auto const held = std::exchange(connection_, nullptr))
+    {
+        held->close();
+    }
+}
+
+auto upstream_call::pause() -> void
+{
+    if (connection_)
+    {
+        connection_->pause();
+    }
+}
+
+auto upstream_call::resume() -> void
+{
+    if (connection_)
+    {
+        connection_->read();
+    }
+}
+
+upstream_pool::upstream_pool(asio::io_context& loop)
+    : loop_(loop)
+{}
+
+auto upstream_pool::start(
+    asio::ip::tcp::endpoint const& to,
+    std::string bytes,
+    call_options const& options,
+    upstream_call::handlers told) -> std::shared_ptr<upstream_call>
+{
+    auto const call = std::shared_ptr<upstream_call>{new upstream_call{
+        *this, to, std::move(bytes), options, std::move(told)}};
+    if (auto held = take_idle(to, options.most_idle))
+    {
+        // On the loop, so that no handler runs before the caller holds the
+        // call.
+        asio::post(loop_, [call, held = std::move(held)] {
+            if (call->over_)
+            {
+                held->close();
+                return;
+            }
+            call->begin(held);
+        });
+        return call;
+    }
+    ++opened_;
+    connection::connect(
+        loop_, to, options.connect_limit,
+        [call](std::shared_ptr<connection> made, std::error_code error) {
+            if (call->over_)
+            {
+                if (made)
+                {
+                    made->close();
+                }
+                return;
+            }
+            if (error)
+            {
+                call->fail(call_stage::connecting, error.message());
+                return;
+            }
+            call->begin(std::move(made));
+        });
+    return call;
+}
+
+auto upstream_pool::take_idle(
+    asio::ip::tcp::endpoint const& to, duration most_idle)
+    -> std::shared_ptr<connection>
+{
+    auto const found = idle_.find(to);
+    if (found == idle_.end())
+    {
+        return nullptr;
+    }
+    auto& waiting = found->second;
+    auto const now = telemetry::monotonic_now();
+    while (!waiting.empty())
+    {
+        // The one used last: it is the least likely to have been dropped.
+        auto const last = std::move(waiting.back());
+        waiting.pop_back();
+        auto const idle = now - last.since;
+        auto const usable = last.held->is_open() && idle <= most_idle &&
+                            idle <= last.limit && !last.held->has_input();
+        if (usable)
+        {
+            return last.held;
+        }
+        last.held->close();
+    }
+    return nullptr;
+}
+
+auto upstream_pool::keep(
+    asio::ip::tcp::endpoint const& to,
+    std::shared_ptr<connection> const& held,
+    http::response_head const& head) -> void
+{
+    auto& waiting = idle_[to];
+    if (waiting.size() >= most_idle_connections)
+    {
+        held->close();
+        return;
+    }
+    // Whatever arrives on an idle connection belongs to no request.
+    auto const weak = std::weak_ptr<connection>{held};
+    held->set_handlers(
+        {[weak](std::string_view) {
+             if (auto const open = weak.lock())
+             {
+                 open->close();
+             }
+         },
+         [](connection_end) {},
+         {}});
+    waiting.push_back(
+        {held, telemetry::monotonic_now(), stated_idle_limit(head)});
+}
+
+auto upstream_pool::forget(asio::ip::tcp::endpoint const& to) -> void
+{
+    auto const found = idle_.find(to);
+    if (found == idle_.end())
+    {
+        return;
+    }
+    for (auto const& each : found->second)
+    {
+        each.held->close();
+    }
+    idle_.erase(found);
+}
+
+auto upstream_pool::expire(time_point now) -> void
+{
+    for (auto& [to, waiting] : idle_)
+    {
+        std::erase_if(waiting, [&](idle_connection const& each) {
+            auto const done =
+                !each.held->is_open() || now - each.since > each.limit;
+            if (done)
+            {
+                each.held->close();
+            }
+            return done;
+        });
+    }
+}
+
+} // namespace sapphirereel::relay
--- /dev/null
+++ b/packages/relay/src/whole_call.cpp
@@ -0,0 +1,62 @@
+#include "sapphirereel/relay/whole_call.hpp"
+
+#include <utility>
+
+namespace sapphirereel::relay {
+
+whole_call::whole_call(asio::io_context& loop, whole_answer_handler done)
+    : timer_(loop)
+    , done_(std::move(done))
+{}
+
+auto whole_call::start(
+    asio::io_context& loop,
+    upstream_pool& pool,
+    asio::ip::tcp::endpoint const& to,
+    std::string bytes,
+    duration limit,
+    whole_answer_handler done,
+    call_options const& options) -> std::shared_ptr<whole_call>
+{
+    auto const self =
+        std::shared_ptr<whole_call>{new whole_call{loop, std::move(done)}};
+    self->call_ = pool.start(
+        to, std::move(bytes), options,
+        {[self](http::response_head const& head) { self->answer_.head = head; },
+         [self](std::string body) { self->answer_.body += body; },
+         [self] { self->finish(std::move(self->answer_)); },
+         [self](call_failure const& why) {
+             self->finish(tl::unexpected(why));
+         }});
+    self->timer_.expires_after(limit);
+    self->timer_.async_wait([self](std::error_code error) {
+        if (!error && self->call_)
+        {
+            self->finish(tl::unexpected(
+                call_failure{call_stage::waiting, "no answer in time"}));
+        }
+    });
+    return self;
+}
+
+auto whole_call::finish(whole_answer answer) -> void
+{
+    auto const done = std::exchange(done_, {});
+    cancel();
+    if (done)
+    {
+        done(std::move(answer));
+    }
+}
+
+auto whole_call::cancel() -> void
+{
+    done_ = {};
+    timer_.cancel();
+    if (auto const call = std::exchange(call_, nullptr))
+    {
+        call->cancel();
+    }
+}
+
+} // namespace sapphirereel::relay
--- a/packages/daemon/include/sapphirereel/daemon/log_line.hpp
+++ b/packages/telemetry/include/sapphirereel/telemetry/log_line.hpp
@@ -1,12 +1,12 @@
 /// \file
 /// Defines one line of the daemon's log and its form as JSON.
-#ifndef SAPPHIREREEL_DAEMON_LOG_LINE_HPP
-#define SAPPHIREREEL_DAEMON_LOG_LINE_HPP
+#ifndef SAPPHIREREEL_TELEMETRY_LOG_LINE_HPP
+#define SAPPHIREREEL_TELEMETRY_LOG_LINE_HPP
 
 #include "sapphirereel/core/clock.hpp"
 #include "sapphirereel/core/finding.hpp"
 #include "sapphirereel/core/identifier.hpp"
-#include "sapphirereel/daemon/settings.hpp"
+#include "sapphirereel/telemetry/log_level.hpp"
 
 #include <concepts>
 #include <cstdint>
@@ -16,7 +16,7 @@
 #include <variant>
 #include <vector>
 
-namespace sapphirereel::daemon {
+namespace sapphirereel::telemetry {
 
 /// The value of a field. A duration is written in milliseconds.
 using log_value = std::
@@ -98,6 +98,6 @@
 /// The line of a finding.
 auto finding_line(finding const& found, wall_time now) -> log_line;
 
-} // namespace sapphirereel::daemon
+} // namespace sapphirereel::telemetry
 
 #endif
--- a/packages/daemon/include/sapphirereel/daemon/metrics_histogram.hpp
+++ b/packages/telemetry/include/sapphirereel/telemetry/metrics_histogram.hpp
@@ -1,7 +1,7 @@
 /// \file
 /// Defines a histogram of times with named buckets.
-#ifndef SAPPHIREREEL_DAEMON_METRICS_HISTOGRAM_HPP
-#define SAPPHIREREEL_DAEMON_METRICS_HISTOGRAM_HPP
+#ifndef SAPPHIREREEL_TELEMETRY_METRICS_HISTOGRAM_HPP
+#define SAPPHIREREEL_TELEMETRY_METRICS_HISTOGRAM_HPP
 
 #include "sapphirereel/core/clock.hpp"
 
@@ -16,7 +16,7 @@
 #include <string_view>
 #include <vector>
 
-namespace sapphirereel::daemon {
+namespace sapphirereel::telemetry {
 
 /// A histogram whose buckets each hold the times up to a bound, the bound
 /// included. May be used from any thread.
@@ -43,6 +43,6 @@
     std::atomic<duration::rep> sum_microseconds_{0};
 };
 
-} // namespace sapphirereel::daemon
+} // namespace sapphirereel::telemetry
 
 #endif
--- a/packages/daemon/src/clocks.cpp
+++ b/packages/telemetry/src/clocks.cpp
@@ -1,9 +1,9 @@
-#include "sapphirereel/daemon/clocks.hpp"
+#include "sapphirereel/telemetry/clocks.hpp"
 
 #include <chrono>
 #include <ctime>
 
-namespace sapphirereel::daemon {
+namespace sapphirereel::telemetry {
 
 auto monotonic_now() -> time_point
 {
@@ -23,4 +23,4 @@
             .count()};
 }
 
-} // namespace sapphirereel::daemon
+} // namespace sapphirereel::telemetry
--- a/packages/daemon/src/log_line.cpp
+++ b/packages/telemetry/src/log_line.cpp
@@ -1,11 +1,11 @@
-#include "sapphirereel/daemon/log_line.hpp"
+#include "sapphirereel/telemetry/log_line.hpp"
 
 #include <chrono>
 #include <cmath>
 #include <fmt/chrono.h>
 #include <nlohmann/json.hpp>
 
-namespace sapphirereel::daemon {
+namespace sapphirereel::telemetry {
 namespace {
 
 using ordered_json = nlohmann::ordered_json;
@@ -99,4 +99,4 @@
          {"mend", found.mend}}};
 }
 
-} // namespace sapphirereel::daemon
+} // namespace sapphirereel::telemetry
--- a/packages/daemon/src/metrics_histogram.cpp
+++ b/packages/telemetry/src/metrics_histogram.cpp
@@ -1,10 +1,10 @@
-#include "sapphirereel/daemon/metrics_histogram.hpp"
+#include "sapphirereel/telemetry/metrics_histogram.hpp"
 
 #include <boost/histogram/make_histogram.hpp>
 #include <fmt/format.h>
 #include <limits>
 
-namespace sapphirereel::daemon {
+namespace sapphirereel::telemetry {
 namespace {
 
 using seconds_type = std::chrono::duration<double>;
@@ -57,4 +57,4 @@
     return text;
 }
 
-} // namespace sapphirereel::daemon
+} // namespace sapphirereel::telemetry
