Tell peers of replicas whose entry was removed

Only entries still listed were told. Now the offset of the removal is told as well.

Ruled out: faster polls, which the price of store calls forbids.

--- a/packages/relay/include/sapphirereel/relay/record_cache.hpp
+++ b/packages/relay/include/sapphirereel/relay/record_cache.hpp
@@ -43,6 +43,10 @@
     [[nodiscard]] auto find(std::string const& key) const
         -> keyed_record const*;
 
+    /// Offset of the newest record of a key, one that removes it included.
+    [[nodiscard]] auto offset_of(std::string const& key) const
+        -> std::optional<std::uint64_t>;
+
     /// Offset before which every record has been taken in.
     [[nodiscard]] auto next() const -> std::uint64_t
     {
--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -76,6 +76,10 @@
 /// after the log has come back: entries that lapsed meanwhile come again.
 inline constexpr auto lapse_grace = duration{std::chrono::milliseconds{2'200}};
 
+/// Records of the replicas' stream for which daemons tell each other that a
+/// replica leaves.
+inline constexpr auto told_leaving_records = std::uint64_t{200};
+
 /// Most requests served at once.
 inline constexpr auto most_active = std::size_t{1'500};
 
@@ -382,16 +386,17 @@
                 ? std::vector<leaving_listener*>{}
                 : std::vector<leaving_listener*>{
                       found->second.begin(), found->second.end()};
-        auto const* const record = replicas_.cache().find(which.id.str());
+        auto const offset = replicas_.cache().offset_of(which.id.str());
         state_.log.info(
             "replicas", "a replica leaves",
             {{"replica", which.id},
              {"service", which.service},
              {"streams", streams.size()},
-             {"still_listed", record != nullptr}});
-        if (record != nullptr)
+             {"offset", offset.value_or(0)}});
+        if (offset)
         {
-            told_leaving_[which.id] = record->offset;
+            auto& told = told_leaving_[which.id];
+            told = std::max(told, *offset);
             report_shortly();
         }
         for (auto* const each : streams)
@@ -595,13 +600,14 @@
         });
     }
 
-    /// Forgets replicas said to leave that are no longer listed.
+    /// Forgets replicas said to leave once the log has got well past it.
     auto forget_told() -> void
     {
         std::erase_if(told_leaving_, [&](auto const& each) {
-            auto const* const record = replicas_.cache().find(each.first.str());
-            return record == nullptr && replicas_.is_in_touch() &&
-                   replicas_.cache().next() > each.second;
+            auto const& cache = replicas_.cache();
+            return cache.find(each.first.str()) == nullptr &&
+                   replicas_.is_in_touch() &&
+                   cache.next() > each.second + told_leaving_records;
         });
     }
 
--- a/packages/relay/src/record_cache.cpp
+++ b/packages/relay/src/record_cache.cpp
@@ -78,4 +78,12 @@
                                                            : &found->second;
 }
 
+auto record_cache::offset_of(std::string const& key) const
+    -> std::optional<std::uint64_t>
+{
+    auto const found = records_.find(key);
+    return found == records_.end() ? std::nullopt
+                                   : std::optional{found->second.offset};
+}
+
 } // namespace sapphirereel::relay
