--- a/packages/relay/include/sapphirereel/relay/plain_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/plain_exchange.hpp
@@ -79,7 +79,7 @@
             return;
         }
         auto const chosen = all_.state.replicas.choose(
-            {all_.service, 0, 0, all_.excluded}, std::nullopt, now);
+            {all_.service, 0, 0, all_.excluded, {}}, std::nullopt, now);
         if (!chosen)
         {
             give_up(refusal_reason::no_replica, 502, "no replica is left");
--- a/packages/relay/include/sapphirereel/relay/replica_table.hpp
+++ b/packages/relay/include/sapphirereel/relay/replica_table.hpp
@@ -67,6 +67,8 @@
     double prompt_tokens = 0;
     /// Replicas that are not to be used.
     std::set<endpoint_id> excluded;
+    /// Zone that the run's memory lies in, where it is to be moved.
+    std::optional<zone_name> memory_zone = std::nullopt;
 };
 
 /// How a choice was made, for the log.
@@ -160,8 +162,10 @@
         placement_need const& need,
         engine_traits const& engine,
         time_point now) const -> double;
-    [[nodiscard]] auto penalty(replica const& candidate, time_point now) const
-        -> double;
+    [[nodiscard]] auto penalty(
+        replica const& candidate,
+        std::optional<zone_name> const& memory_zone,
+        time_point now) const -> double;
 
     zone_name zone_;
     std::mt19937_64 generator_;
--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -121,7 +121,9 @@
         return {
             all_.service,
             counted_memory(size_, expected_output_, output_tokens()),
-            size_.prompt, all_.excluded};
+            size_.prompt,
+            all_.excluded,
+            {}};
     }
 
     [[nodiscard]] auto output_tokens() const -> double
@@ -458,8 +460,10 @@
             return;
         }
         all_.excluded.insert(target_.id);
+        auto wanted = need();
+        wanted.memory_zone = target_.zone;
         auto const chosen =
-            all_.state.replicas.choose(need(), all_.engine(), now);
+            all_.state.replicas.choose(wanted, all_.engine(), now);
         if (!chosen || !address_of(chosen->target))
         {
             all_.state.log.request(
--- a/packages/relay/src/replica_table.cpp
+++ b/packages/relay/src/replica_table.cpp
@@ -27,6 +27,11 @@
 /// capacity.
 constexpr auto zone_penalty = 0.02;
 
+/// Added to the score of a replica in another zone than the memory that is to
+/// be moved: a move takes twice as long there, and a leaving replica's link is
+/// what binds.
+constexpr auto far_move_penalty = 0.6;
+
 /// Weight of a memory that is full by all counts, which would preempt.
 constexpr auto overflow_weight = 20.0;
 
@@ -159,13 +164,17 @@
     return sum;
 }
 
-auto replica_table::penalty(replica const& candidate, time_point now) const
-    -> double
+auto replica_table::penalty(
+    replica const& candidate,
+    std::optional<zone_name> const& memory_zone,
+    time_point now) const -> double
 {
     auto const failure = failures_.find(candidate.id);
     auto const avoided =
         failure != failures_.end() && now < failure->second.avoided_until;
+    auto const is_far_move = memory_zone && *memory_zone != candidate.zone;
     return (avoided ? avoidance_penalty : 0) +
+           (is_far_move ? far_move_penalty : 0) +
            (candidate.zone == zone_ ? 0 : zone_penalty);
 }
 
@@ -180,7 +189,7 @@
         auto const& load = word->second.load;
         busy = std::max(busy, load.running + load.waiting);
     }
-    return static_cast<double>(busy) / slots + penalty(candidate, now);
+    return static_cast<double>(busy) / slots + penalty(candidate, std::nullopt, now);
 }
 
 auto replica_table::memory_share(
@@ -210,7 +219,7 @@
     auto const places = (static_cast<double>(load.requests) + 1) / slots;
     auto const crowded = std::max(0.0, places - 1);
     return share + unread + overflow_weight * (overflow + crowded) +
-           penalty(candidate, now);
+           penalty(candidate, need.memory_zone, now);
 }
 
 auto replica_table::choose(
