Keep a copy of long runs at another replica, and go on from it

A run of 100 expected tokens or more now has its memory copied to a replica in its zone that is less than 0.7 full.

--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -25,6 +25,11 @@
 /// Most orders to copy for one run.
 inline constexpr auto most_move_orders = 24;
 
+/// Output, in tokens, from which on a run's memory is copied to another replica
+/// as it grows, and the share of that replica's memory up to which it is.
+inline constexpr auto least_output_for_backup = 100.0;
+inline constexpr auto most_share_for_backup = 0.7;
+
 /// Latest time after the news that a replica leaves at which a run on it is
 /// stopped to go on elsewhere.
 inline constexpr auto latest_stop_after_notice =
@@ -63,6 +68,15 @@
             return;
         }
         noticed_at_ = now;
+        if (has_sound_backup())
+        {
+            // The run goes on from its copy when the replica ends it. That
+            // needs nothing of the leaving replica's link.
+            all_.state.log.request(
+                all_.request.id, "stays until its replica ends it",
+                {{"replica", target_.id}, {"copy_at", backup_->id}});
+            return;
+        }
         auto const traits = all_.engine();
         if (traits && traits->moves)
         {
@@ -193,15 +207,16 @@
         splitter_ = {};
         head_.reset();
         source_ended_ = false;
+        choose_backup(now);
+        auto const backup_address =
+            backup_ ? std::optional{host_and_port(*backup_)} : std::nullopt;
         auto const self = this->shared_from_this();
         call_ = all_.state.pool.start(
             to,
             Format::write_call(
-                all_.request, {target.id,
-                               all_.remaining(now),
-                               all_.granted.customer,
-                               std::move(resumed),
-                               {}}),
+                all_.request,
+                {target.id, all_.remaining(now), all_.granted.customer,
+                 std::move(resumed), backup_address}),
             {},
             {[self](http::response_head const& head) { self->answered(head); },
              [self](std::string body) { self->receive(body); },
@@ -211,6 +226,80 @@
              }});
     }
 
+    /// Picks the replica that keeps a copy of the run's memory, if one has room
+    /// for it.
+    auto choose_backup(time_point now) -> void
+    {
+        backup_.reset();
+        backup_load_.release();
+        auto const traits = all_.engine();
+        auto const is_worth_it = traits && traits->backups &&
+                                 expected_output_ >= least_output_for_backup;
+        if (!is_worth_it)
+        {
+            return;
+        }
+        auto wanted = need();
+        wanted.excluded.insert(target_.id);
+        wanted.prompt_tokens = 0;
+        wanted.memory_zone = target_.zone;
+        auto const chosen = all_.state.replicas.choose(wanted, traits, now);
+        if (!chosen || chosen->memory_share > most_share_for_backup)
+        {
+            return;
+        }
+        backup_ = chosen->target;
+        backup_load_.place(backup_->id, wanted.memory_tokens, 0);
+    }
+
+    /// Whether a replica that stays keeps a copy of the run.
+    [[nodiscard]] auto has_sound_backup() const -> bool
+    {
+        auto const* const held =
+            backup_ ? all_.state.replicas.find(backup_->id) : nullptr;
+        return held != nullptr && !held->leaving;
+    }
+
+    static auto host_and_port(replica const& at) -> std::string
+    {
+        return fmt::format("{}:{}", at.ip, at.port);
+    }
+
+    /// Goes on from the copy of a run whose replica is lost.
+    auto continue_from_backup(time_point now) -> bool
+    {
+        auto const* const held =
+            backup_ ? all_.state.replicas.find(backup_->id) : nullptr;
+        auto const to = held ? address_of(*held) : std::nullopt;
+        if (!to || !begun_ || !last_event_)
+        {
+            return false;
+        }
+        auto const next = replica{*held};
+        all_.state.log.request(
+            all_.request.id, "goes on from its copy",
+            {{"replica", target_.id},
+             {"copy_at", next.id},
+             {"events", events_},
+             {"silent", now - last_event_at_}});
+        all_.excluded.insert(target_.id);
+        move_timer_.cancel();
+        if (order_)
+        {
+            order_->cancel();
+            order_.reset();
+        }
+        destination_load_.release();
+        handle_.clear();
+        phase_ = move_phase::continuing;
+        send(
+            next, *to,
+            continuation{
+                fmt::format("{}/{}", host_and_port(next), all_.request.id),
+                *last_event_});
+        return true;
+    }
+
     auto watch() -> void
     {
         all_.state.streams[target_.id].insert(this);
@@ -447,7 +536,10 @@
             retry_not_run(now);
             return;
         }
-        lose(why.detail);
+        if (!continue_from_backup(now))
+        {
+            lose(why.detail);
+        }
     }
 
     // Moving to another replica.
@@ -492,9 +584,7 @@
         order_ = whole_call::start(
             all_.state.loop, all_.state.pool, *to,
             Format::write_move(
-                {all_.request.id,
-                 fmt::format("{}:{}", destination_.ip, destination_.port),
-                 stop}),
+                {all_.request.id, host_and_port(destination_), stop}),
             move_call_limit, [self, stop](whole_answer answer) {
                 self->order_answered(stop, answer);
             });
@@ -623,7 +713,7 @@
         }
         // The run may have ended by itself; its own stream tells.
         cancel_move();
-        if (source_ended_)
+        if (source_ended_ && !continue_from_backup(telemetry::monotonic_now()))
         {
             lose("the run was not stopped in good order");
         }
@@ -649,7 +739,7 @@
         phase_ = move_phase::continuing;
         auto const source = target_;
         auto resumed = continuation{
-            fmt::format("{}:{}/{}", source.ip, source.port, handle_),
+            fmt::format("{}/{}", host_and_port(source), handle_),
             last_event_.value_or(0)};
         handle_.clear();
         destination_load_.release();
@@ -674,6 +764,7 @@
         unwatch();
         load_.release();
         destination_load_.release();
+        backup_load_.release();
         all_.state.load_changed();
         if (order_)
         {
@@ -781,6 +872,7 @@
     exchange all_;
     stream_load load_;
     stream_load destination_load_{all_.state.replicas};
+    stream_load backup_load_{all_.state.replicas};
     asio::steady_timer move_timer_;
     generation_size size_;
     double expected_output_;
@@ -788,6 +880,7 @@
     std::shared_ptr<whole_call> order_;
     replica target_;
     replica destination_;
+    std::optional<replica> backup_;
     std::optional<http::response_head> head_;
     event_splitter splitter_;
     std::string failure_body_;
