Let three daemons follow the log closely and tell the others

The replicas' topic changes only when an entry does (offset 12 after 11 s), so that a read which waits costs a call a change, not a call a poll. Three daemons in touch wait for news; the others hear it in reports, fetch the copy, and read every 3 s in case nobody tells.

--- a/packages/relay/include/sapphirereel/relay/log_follower.hpp
+++ b/packages/relay/include/sapphirereel/relay/log_follower.hpp
@@ -105,6 +105,17 @@
         read_newest();
     }
 
+    /// Changes how the stream is followed; a shorter pause holds at once.
+    auto follow(follow_settings const& settings) -> void
+    {
+        auto const is_shorter = settings.pause < settings_.pause;
+        settings_ = settings;
+        if (is_shorter && is_pausing_ && failures_ == 0)
+        {
+            read_later(settings_.pause);
+        }
+    }
+
     /// Takes in a peer's copy.
     auto take_copy(std::vector<keyed_record> const& newest, std::uint64_t next)
         -> void
@@ -132,6 +143,12 @@
         return regained_at_;
     }
 
+    /// Whether the log has not answered for several calls.
+    [[nodiscard]] auto is_lost() const -> bool
+    {
+        return failures_ >= failures_of_loss;
+    }
+
     [[nodiscard]] auto is_in_touch() const -> bool
     {
         return failures_ == 0 && has_newest_;
@@ -192,7 +209,7 @@
     auto answered() -> void
     {
         answered_at_ = telemetry::monotonic_now();
-        if (failures_ >= failures_of_loss)
+        if (is_lost())
         {
             regained_at_ = answered_at_;
         }
@@ -210,6 +227,7 @@
     auto read_later(duration delay) -> void
     {
         auto spread = std::uniform_real_distribution<double>{0.8, 1.2};
+        is_pausing_ = true;
         timer_.expires_after(
             std::chrono::duration_cast<duration>(delay * spread(random_)));
         timer_.async_wait([this](std::error_code error) {
@@ -217,6 +235,7 @@
             {
                 return;
             }
+            is_pausing_ = false;
             if (has_newest_)
             {
                 read_on();
@@ -239,6 +258,7 @@
     time_point regained_at_{};
     std::uint32_t failures_ = 0;
     bool has_newest_ = false;
+    bool is_pausing_ = false;
 };
 
 } // namespace sapphirereel::relay
--- a/packages/relay/include/sapphirereel/relay/peer_report.hpp
+++ b/packages/relay/include/sapphirereel/relay/peer_report.hpp
@@ -36,6 +36,8 @@
     zone_name zone;
     /// Whether callers should be sent to it.
     bool takes_callers = false;
+    /// Whether the platform's log answers it.
+    bool is_in_touch = false;
     /// How far its copies of the platform's log reach.
     std::uint64_t configuration_next = 0;
     std::uint64_t replicas_next = 0;
--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -9,6 +9,7 @@
 #include "sapphirereel/relay/peer_socket.hpp"
 #include "sapphirereel/relay/peer_table.hpp"
 #include "sapphirereel/relay/plain_exchange.hpp"
+#include "sapphirereel/relay/reader_rank.hpp"
 #include "sapphirereel/relay/record_exchange.hpp"
 #include "sapphirereel/relay/stream_exchange.hpp"
 
@@ -52,13 +53,9 @@
 /// Every which report goes to silent daemons as well.
 inline constexpr auto reports_to_silent = 4;
 
-/// Silence of the log after which a peer's copy is fetched.
-inline constexpr auto copy_after_silence =
-    duration{std::chrono::milliseconds{900}};
-
 /// Time for fetching a copy from a peer, and between two fetches.
 inline constexpr auto copy_limit = duration{std::chrono::milliseconds{800}};
-inline constexpr auto copy_interval = duration{std::chrono::milliseconds{250}};
+inline constexpr auto copy_interval = duration{std::chrono::milliseconds{50}};
 
 /// Time from the order to stop until idle callers' connections are closed.
 inline constexpr auto stop_idle_after =
@@ -108,14 +105,14 @@
               loop,
               log,
               keyed_stream::configuration,
-              {std::chrono::seconds{4}, std::chrono::milliseconds{5}},
+              follow_settings_of(true),
               seed,
               [this] { configuration_changed(); })
         , replicas_(
               loop,
               log,
               keyed_stream::replicas,
-              {duration{0}, std::chrono::milliseconds{350}},
+              follow_settings_of(true),
               seed + 1,
               [this] { replicas_changed(); })
         , tick_(loop)
@@ -352,11 +349,12 @@
     }
 
     /// Keeps replicas that vanished without leaving while the log was away or
-    /// has just come back.
+    /// has just come back, unless a peer that has followed the log all the
+    /// while tells that they are gone.
     auto keep_lapsed(std::vector<replica>& listed, time_point now) -> void
     {
         auto const is_recovering =
-            !replicas_.is_in_touch() ||
+            replicas_.is_lost() ||
             (replicas_.regained_at() != time_point{} &&
              now - replicas_.regained_at() < lapse_grace);
         if (!is_recovering)
@@ -370,7 +368,12 @@
         }
         for (auto const& [id, each] : state_.replicas.replicas())
         {
-            if (!present.contains(id) && !each.leaving)
+            auto const told = told_leaving_.find(id);
+            auto const is_known_gone =
+                told != told_leaving_.end() &&
+                told->second >=
+                    replicas_.cache().offset_of(id.str()).value_or(0);
+            if (!present.contains(id) && !each.leaving && !is_known_gone)
             {
                 listed.push_back(each);
                 recheck_lapsed_at_ = now + lapse_grace;
@@ -420,6 +423,8 @@
         report.caller_address = own_caller_address();
         report.zone = settings_.zone;
         report.takes_callers = is_ready();
+        report.is_in_touch = configuration_.is_in_touch() &&
+                             replicas_.is_in_touch() && !state_.stopping;
         report.configuration_next = configuration_.cache().next();
         report.replicas_next = replicas_.cache().next();
         for (auto const& [id, offset] : told_leaving_)
@@ -489,8 +494,7 @@
         }
     }
 
-    /// Fetches a peer's copy where it is newer: of the configuration always, of
-    /// the replicas only while the log does not answer.
+    /// Fetches a peer's copies where they are newer.
     auto fetch_if_behind(peer_report const& report, time_point now) -> void
     {
         if (now < next_fetch_at_)
@@ -500,8 +504,7 @@
         auto const misses_configuration =
             report.configuration_next > configuration_.cache().next();
         auto const misses_replicas =
-            report.replicas_next > replicas_.cache().next() &&
-            now - replicas_.answered_at() > copy_after_silence;
+            report.replicas_next > replicas_.cache().next();
         if (misses_configuration)
         {
             fetch(report, keyed_stream::configuration);
@@ -581,6 +584,7 @@
         auto const now = telemetry::monotonic_now();
         send_report(++ticks_ % reports_to_silent == 0);
         state_.pool.expire(now);
+        share_reading(now);
         sessions_.remove_if([](std::weak_ptr<caller_session> const& each) {
             auto const held = each.lock();
             return !held || !held->is_open();
@@ -600,6 +604,23 @@
         });
     }
 
+    /// Reads the log closely, or leaves that to others.
+    auto share_reading(time_point now) -> void
+    {
+        auto const closely =
+            reads_closely(settings_.peers.ip, peers_.alive(now));
+        if (closely == reads_closely_)
+        {
+            return;
+        }
+        reads_closely_ = closely;
+        state_.log.info(
+            "log", closely ? "reads closely" : "leaves close reading to others",
+            {{"peers", peers_.alive(now).size()}});
+        configuration_.follow(follow_settings_of(closely));
+        replicas_.follow(follow_settings_of(closely));
+    }
+
     /// Forgets replicas said to leave once the log has got well past it.
     auto forget_told() -> void
     {
@@ -665,6 +686,7 @@
     time_point next_fetch_at_{};
     time_point recheck_lapsed_at_{};
     std::uint64_t ticks_ = 0;
+    bool reads_closely_ = true;
     bool report_due_ = false;
     bool stop_closes_idle_ = false;
 };
--- a/packages/relay/src/peer_report.cpp
+++ b/packages/relay/src/peer_report.cpp
@@ -22,6 +22,7 @@
     caller_address_at,
     zone_at,
     takes_callers_at,
+    is_in_touch_at,
     configuration_next_at,
     replicas_next_at,
     leaving_at,
@@ -50,8 +51,8 @@
     auto const fields = json::array(
         {report_form, report.ip, report.incarnation, report.sequence,
          report.caller_address, report.zone.str(), report.takes_callers,
-         report.configuration_next, report.replicas_next, std::move(leaving),
-         std::move(load), report.known});
+         report.is_in_touch, report.configuration_next, report.replicas_next,
+         std::move(leaving), std::move(load), report.known});
     auto bytes = std::string{};
     json::to_msgpack(fields, bytes);
     return bytes;
@@ -77,6 +78,7 @@
         report.caller_address = fields[caller_address_at].get<std::string>();
         report.zone = zone_name{fields[zone_at].get<std::string>()};
         report.takes_callers = fields[takes_callers_at].get<bool>();
+        report.is_in_touch = fields[is_in_touch_at].get<bool>();
         report.configuration_next =
             fields[configuration_next_at].get<std::uint64_t>();
         report.replicas_next = fields[replicas_next_at].get<std::uint64_t>();
--- a/packages/relay/src/replica_table.cpp
+++ b/packages/relay/src/replica_table.cpp
@@ -189,7 +189,8 @@
         auto const& load = word->second.load;
         busy = std::max(busy, load.running + load.waiting);
     }
-    return static_cast<double>(busy) / slots + penalty(candidate, std::nullopt, now);
+    return static_cast<double>(busy) / slots +
+           penalty(candidate, std::nullopt, now);
 }
 
 auto replica_table::memory_share(
