Test the relay, its parser and the platform's decoders

Cause: an unknown key counted as never seen. Now no record before the point that the copy stands at is taken.

--- a/packages/relay/include/sapphirereel/relay/caller_session.hpp
+++ b/packages/relay/include/sapphirereel/relay/caller_session.hpp
@@ -48,6 +48,10 @@
     /// whole.
     auto abort() -> void;
 
+    /// Closes the connection once what was sent has been written, though the
+    /// answer is not whole.
+    auto close_broken() -> void;
+
     /// Closes the connection once it is idle; an answer under way is finished.
     auto stop() -> void;
 
--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -167,6 +167,18 @@
         return state_.table != nullptr && !state_.stopping;
     }
 
+    /// Whether the platform's log answers.
+    [[nodiscard]] auto is_in_touch() const -> bool
+    {
+        return configuration_.is_in_touch() && replicas_.is_in_touch();
+    }
+
+    /// Whether the log of the replicas has not answered for several calls.
+    [[nodiscard]] auto has_lost_log() const -> bool
+    {
+        return replicas_.is_lost();
+    }
+
     /// Addresses for callers: of all daemons that take them.
     [[nodiscard]] auto caller_addresses() const -> std::vector<std::string>
     {
@@ -423,8 +435,7 @@
         report.caller_address = own_caller_address();
         report.zone = settings_.zone;
         report.takes_callers = is_ready();
-        report.is_in_touch = configuration_.is_in_touch() &&
-                             replicas_.is_in_touch() && !state_.stopping;
+        report.is_in_touch = is_in_touch() && !state_.stopping;
         report.configuration_next = configuration_.cache().next();
         report.replicas_next = replicas_.cache().next();
         for (auto const& [id, offset] : told_leaving_)
--- a/packages/relay/src/caller_session.cpp
+++ b/packages/relay/src/caller_session.cpp
@@ -197,6 +197,14 @@
     connection_->close();
 }
 
+auto caller_session::close_broken() -> void
+{
+    gone_ = {};
+    drained_ = {};
+    timer_.cancel();
+    connection_->close_gently();
+}
+
 auto caller_session::stop() -> void
 {
     stopping_ = true;
--- a/packages/relay/src/record_cache.cpp
+++ b/packages/relay/src/record_cache.cpp
@@ -7,17 +7,19 @@
 
 auto record_cache::take(keyed_record const& record) -> bool
 {
-    auto const [held, is_new] = records_.try_emplace(record.key, record);
-    if (is_new)
-    {
-        return record.value.has_value();
-    }
-    if (record.offset <= held->second.offset)
+    auto const held = records_.find(record.key);
+    // All records before the point that the copy stands at have been taken in
+    // or overtaken, also those of keys that had no value there.
+    auto const is_held = held != records_.end();
+    auto const known_up_to =
+        std::max(next_, is_held ? held->second.offset + 1 : 0);
+    if (record.offset < known_up_to)
     {
         return false;
     }
-    held->second = record;
-    return true;
+    auto const is_news = is_held || record.value.has_value();
+    records_[record.key] = record;
+    return is_news;
 }
 
 auto record_cache::follow(
--- /dev/null
+++ b/test/correctness/relay/knowledge_is_kept_and_passed_on.cpp
@@ -0,0 +1,109 @@
+#include "support/relay/relay_world.hpp"
+
+#include <gtest/gtest.h>
+
+namespace sapphirereel::relay::test {
+namespace {
+
+TEST(relay, without_a_configuration_is_not_ready)
+{
+    auto world = relay_world{};
+    ASSERT_TRUE(world.node().start());
+    EXPECT_FALSE(world.node().is_ready());
+    auto const answer = world.ask("GET", "/safe/a");
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->head.status, 503);
+}
+
+TEST(relay, takes_up_a_new_version_and_never_an_older_one)
+{
+    auto world = relay_world{};
+    auto replica = fake_replica{world.loop, serve_well};
+    world.configure(5);
+    world.add("one", "plain", replica);
+    ASSERT_TRUE(world.start());
+    world.configure(9);
+    ASSERT_TRUE(world.run_until([&] {
+        return world.node().state().table->configuration().version == 9;
+    }));
+    world.configure(7);
+    world.configure(10);
+    ASSERT_TRUE(world.run_until([&] {
+        return world.node().state().table->configuration().version == 10;
+    }));
+    EXPECT_FALSE(world.logged("\"version\":7"));
+}
+
+TEST(relay, sends_nothing_to_a_replica_that_leaves)
+{
+    auto world = relay_world{};
+    auto one = fake_replica{world.loop, serve_well};
+    auto two = fake_replica{world.loop, serve_well};
+    world.configure(1);
+    world.add("one", "plain", one);
+    world.add("two", "plain", two);
+    ASSERT_TRUE(world.start());
+    world.add("one", "plain", one, "draining");
+    ASSERT_TRUE(
+        world.run_until([&] { return world.logged("a replica leaves"); }));
+    for (auto at = 0; at < 6; ++at)
+    {
+        ASSERT_TRUE(world.ask("GET", "/once/a"));
+    }
+    EXPECT_TRUE(one.requests.empty());
+    EXPECT_EQ(two.requests.size(), 6U);
+}
+
+TEST(relay, serves_on_while_the_log_is_away)
+{
+    auto world = relay_world{};
+    auto replica = fake_replica{world.loop, serve_well};
+    world.configure(1);
+    world.add("one", "plain", replica);
+    ASSERT_TRUE(world.start());
+    world.log.is_up = false;
+    world.run_until([&] { return !world.node().is_in_touch(); });
+    auto const answer = world.ask("GET", "/once/a");
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->head.status, 200);
+}
+
+TEST(relay, keeps_a_replica_that_vanished_with_the_log_until_it_is_surely_gone)
+{
+    auto world = relay_world{};
+    auto replica = fake_replica{world.loop, serve_well};
+    auto other = fake_replica{world.loop, serve_well};
+    world.configure(1);
+    world.add("one", "plain", replica);
+    world.add("two", "plain", other);
+    ASSERT_TRUE(world.start());
+    world.log.is_up = false;
+    ASSERT_TRUE(world.run_until([&] { return world.node().has_lost_log(); }));
+    world.log.write(keyed_stream::replicas, "one", std::nullopt);
+    world.log.is_up = true;
+    ASSERT_TRUE(world.run_until([&] { return world.node().is_in_touch(); }));
+    auto const& known = world.node().state().replicas;
+    EXPECT_NE(known.find(endpoint_id{"one"}), nullptr);
+    EXPECT_TRUE(world.run_until(
+        [&] { return known.find(endpoint_id{"one"}) == nullptr; }));
+}
+
+TEST(relay, that_stops_is_no_longer_handed_out_and_ends)
+{
+    auto world = relay_world{};
+    auto replica = fake_replica{world.loop, serve_well};
+    world.configure(1);
+    world.add("one", "plain", replica);
+    ASSERT_TRUE(world.start());
+    auto ended = false;
+    world.node().stop([&ended] { ended = true; });
+    EXPECT_FALSE(world.node().is_ready());
+    auto const answer = world.ask("GET", "/once/a");
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->head.status, 200);
+    EXPECT_FALSE(answer->head.keep_alive);
+    EXPECT_TRUE(world.run_until([&ended] { return ended; }));
+}
+
+} // namespace
+} // namespace sapphirereel::relay::test
--- /dev/null
+++ b/test/correctness/relay/plain_requests_run_as_often_as_they_may.cpp
@@ -0,0 +1,177 @@
+#include "support/relay/relay_world.hpp"
+
+#include <gtest/gtest.h>
+
+namespace sapphirereel::relay::test {
+namespace {
+
+/// Ends the connection without an answer.
+auto break_off(
+    std::shared_ptr<caller_session> const& from, http::request const&) -> void
+{
+    from->abort();
+}
+
+/// Says that the request was not run.
+auto reject(
+    std::shared_ptr<caller_session> const& from, http::request const& request)
+    -> void
+{
+    auto fields = signed_fields(request);
+    fields.pop_back();
+    fields.push_back({"X-Sapphirereel-Not-Executed", "1"});
+    from->respond(503, fields, {});
+}
+
+struct two_replicas
+{
+    explicit two_replicas(
+        fake_replica::handler first, fake_replica::handler second)
+        : one(world.loop, std::move(first))
+        , two(world.loop, std::move(second))
+    {
+        world.configure(1);
+        world.add("one", "plain", one);
+        world.add("two", "plain", two);
+    }
+
+    [[nodiscard]] auto arrivals() const -> std::size_t
+    {
+        return one.requests.size() + two.requests.size();
+    }
+
+    relay_world world;
+    fake_replica one;
+    fake_replica two;
+};
+
+TEST(plain_request, comes_back_as_the_replica_answered)
+{
+    auto with = two_replicas{serve_well, serve_well};
+    ASSERT_TRUE(with.world.start());
+    auto const answer = with.world.ask("GET", "/once/a?b=1");
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->head.status, 200);
+    EXPECT_EQ(answer->body, "done");
+    EXPECT_EQ(
+        http::find(answer->head.fields, "X-Sapphirereel-Response-Signature"),
+        "sig");
+    EXPECT_EQ(with.arrivals(), 1U);
+}
+
+TEST(plain_request, that_may_run_once_is_not_sent_again_after_a_break)
+{
+    auto with = two_replicas{break_off, break_off};
+    ASSERT_TRUE(with.world.start());
+    auto const answer = with.world.ask("GET", "/once/a");
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->head.status, 502);
+    EXPECT_EQ(with.arrivals(), 1U);
+}
+
+TEST(plain_request, that_is_idempotent_is_sent_again_after_a_break)
+{
+    auto with = two_replicas{break_off, break_off};
+    ASSERT_TRUE(with.world.start());
+    auto const answer = with.world.ask("GET", "/safe/a");
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->head.status, 502);
+    EXPECT_EQ(with.arrivals(), 2U);
+}
+
+TEST(plain_request, that_was_rejected_everywhere_is_refused_as_not_run)
+{
+    auto with = two_replicas{reject, reject};
+    ASSERT_TRUE(with.world.start());
+    auto const answer = with.world.ask("GET", "/once/a");
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->head.status, 503);
+    EXPECT_TRUE(http::find(answer->head.fields, "Retry-After"));
+    EXPECT_FALSE(
+        http::find(answer->head.fields, "X-Sapphirereel-Response-Signature"));
+    EXPECT_EQ(with.arrivals(), 2U);
+}
+
+TEST(plain_request, that_was_rejected_once_is_served_by_the_other)
+{
+    auto with = two_replicas{reject, serve_well};
+    ASSERT_TRUE(with.world.start());
+    for (auto at = 0; at < 4; ++at)
+    {
+        auto const answer = with.world.ask("GET", "/once/a");
+        ASSERT_TRUE(answer);
+        EXPECT_EQ(answer->head.status, 200);
+    }
+}
+
+TEST(plain_request, gets_a_replicas_own_failure_unchanged)
+{
+    auto const fail = [](std::shared_ptr<caller_session> const& from,
+                         http::request const& request) {
+        from->respond(500, signed_fields(request), "broken");
+    };
+    auto with = two_replicas{fail, fail};
+    ASSERT_TRUE(with.world.start());
+    auto const once = with.world.ask("GET", "/once/a");
+    ASSERT_TRUE(once);
+    EXPECT_EQ(once->head.status, 500);
+    EXPECT_EQ(once->body, "broken");
+    EXPECT_EQ(with.arrivals(), 1U);
+    auto const safe = with.world.ask("GET", "/safe/a");
+    ASSERT_TRUE(safe);
+    EXPECT_EQ(safe->head.status, 500);
+    EXPECT_EQ(with.arrivals(), 3U);
+}
+
+TEST(plain_request, never_gets_the_answer_to_another_request)
+{
+    auto const confuse = [](std::shared_ptr<caller_session> const& from,
+                            http::request const&) {
+        from->respond(
+            200,
+            {{"X-Sapphirereel-Request-Id", "another"},
+             {"X-Sapphirereel-Response-Signature", "sig"}},
+            "not yours");
+    };
+    auto with = two_replicas{confuse, confuse};
+    ASSERT_TRUE(with.world.start());
+    auto const answer = with.world.ask("GET", "/once/a");
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->head.status, 502);
+}
+
+TEST(plain_request, without_an_answer_ends_at_its_timeout)
+{
+    auto const keep_silent = [](std::shared_ptr<caller_session> const&,
+                                http::request const&) {
+    };
+    auto with = two_replicas{keep_silent, keep_silent};
+    ASSERT_TRUE(with.world.start());
+    auto const answer = with.world.ask(
+        "GET", "/once/a", {{"X-Sapphirereel-Deadline-Ms", "120"}});
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->head.status, 504);
+}
+
+TEST(plain_request, carries_only_the_systems_own_fields)
+{
+    auto with = two_replicas{serve_well, serve_well};
+    ASSERT_TRUE(with.world.start());
+    std::ignore = with.world.ask(
+        "GET", "/once/a",
+        {{"X-Sapphirereel-Tenant", "forged"},
+         {"X-Sapphirereel-Hold", "forged"},
+         {"Kv-From", "forged"},
+         {"X-Other", "kept"}});
+    auto const& seen = with.one.requests.empty() ? with.two.requests.at(0)
+                                                 : with.one.requests.at(0);
+    EXPECT_FALSE(http::find(seen.fields, "X-Sapphirereel-Tenant"));
+    EXPECT_FALSE(http::find(seen.fields, "X-Sapphirereel-Hold"));
+    EXPECT_FALSE(http::find(seen.fields, "Kv-From"));
+    EXPECT_EQ(http::find(seen.fields, "X-Other"), "kept");
+    EXPECT_TRUE(http::find(seen.fields, "X-Sapphirereel-Expect-Instance"));
+    EXPECT_TRUE(http::find(seen.fields, "X-Sapphirereel-Deadline-Ms"));
+}
+
+} // namespace
+} // namespace sapphirereel::relay::test
--- /dev/null
+++ b/test/correctness/relay/streams_go_on_when_their_replica_is_lost.cpp
@@ -0,0 +1,106 @@
+#include "support/relay/relay_world.hpp"
+
+#include <gtest/gtest.h>
+
+namespace sapphirereel::relay::test {
+namespace {
+
+auto event(int number) -> std::string
+{
+    return fmt::format("id: {}\ndata: e{}\n\n", number, number);
+}
+
+auto const long_generation = http::field_list{
+    {"X-Sapphirereel-Token-Count", "1000,2000"},
+    {"X-Sapphirereel-Length-Hint", "2000"}};
+
+/// A model engine of two replicas: the one that gets the request makes three
+/// events and a torn one, and is lost; the other goes on.
+struct engine_pair
+{
+    engine_pair()
+        : one(world.loop, serve())
+        , two(world.loop, serve())
+    {
+        world.configure(1);
+        world.add("one", "engine", one);
+        world.add("two", "engine", two);
+    }
+
+    auto serve() -> fake_replica::handler
+    {
+        return [this](
+                   std::shared_ptr<caller_session> const& from,
+                   http::request const& request) {
+            from->begin_stream(200, "OK", signed_fields(request));
+            if (auto const memory = http::find(request.fields, "Kv-From"))
+            {
+                memory_asked = std::string{*memory};
+                last_event =
+                    std::string{*http::find(request.fields, "Last-Event-Id")};
+                from->stream(event(4) + event(5));
+                from->finish_stream();
+                return;
+            }
+            if (auto const copy =
+                    http::find(request.fields, "X-Sapphirereel-Kv-Backup"))
+            {
+                copy_address = std::string{*copy};
+            }
+            from->stream(event(1) + event(2));
+            from->stream(event(3) + "id: 4\nda");
+            if (finishes)
+            {
+                from->finish_stream();
+                return;
+            }
+            from->close_broken();
+        };
+    }
+
+    relay_world world;
+    fake_replica one;
+    fake_replica two;
+    std::string copy_address;
+    std::string memory_asked;
+    std::string last_event;
+    bool finishes = false;
+};
+
+TEST(stream_of_a_lost_replica, goes_on_from_the_copy_of_its_memory)
+{
+    auto with = engine_pair{};
+    ASSERT_TRUE(with.world.start());
+    auto const answer = with.world.ask("GET", "/stream/a", long_generation);
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->head.status, 200);
+    EXPECT_EQ(
+        answer->body, event(1) + event(2) + event(3) + event(4) + event(5));
+    EXPECT_FALSE(with.copy_address.empty());
+    EXPECT_EQ(with.memory_asked, with.copy_address + "/r1");
+    EXPECT_EQ(with.last_event, "3");
+}
+
+TEST(stream_of_a_lost_replica, without_a_copy_does_not_look_complete)
+{
+    auto with = engine_pair{};
+    ASSERT_TRUE(with.world.start());
+    // So short an output is not worth a copy.
+    auto const answer = with.world.ask(
+        "GET", "/stream/a", {{"X-Sapphirereel-Token-Count", "10,20"}});
+    EXPECT_FALSE(answer);
+    EXPECT_TRUE(with.world.logged("stream lost"));
+}
+
+TEST(stream, that_ends_within_an_event_does_not_look_complete)
+{
+    auto with = engine_pair{};
+    with.finishes = true;
+    ASSERT_TRUE(with.world.start());
+    auto const answer = with.world.ask(
+        "GET", "/stream/a", {{"X-Sapphirereel-Token-Count", "10,20"}});
+    EXPECT_FALSE(answer);
+}
+
+} // namespace
+} // namespace sapphirereel::relay::test
--- /dev/null
+++ b/test/fuzz/relay/peer_reports_survive_the_round_trip.cpp
@@ -0,0 +1,48 @@
+#include "sapphirereel/relay/peer_report.hpp"
+#include "sapphirereel/relay/record_exchange.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace sapphirereel::relay {
+namespace {
+
+TEST(peer_report, is_read_as_it_was_written)
+{
+    auto report = peer_report{};
+    report.ip = "10.0.0.1";
+    report.incarnation = 77;
+    report.sequence = 5;
+    report.caller_address = "10.0.0.1:80";
+    report.zone = zone_name{"z"};
+    report.takes_callers = true;
+    report.is_in_touch = true;
+    report.configuration_next = 9;
+    report.replicas_next = 12;
+    report.leaving = {{endpoint_id{"a"}, 11}};
+    report.load = {{endpoint_id{"b"}, {2, 300, 100}}};
+    report.known = {"10.0.0.2"};
+    EXPECT_EQ(read_peer_report(write_peer_report(report)), report);
+}
+
+RC_GTEST_PROP(peer_bytes, of_any_kind_are_dropped, (std::string const& bytes))
+{
+    RC_ASSERT(!read_peer_report(bytes));
+    auto const copy = read_copy(bytes);
+    RC_ASSERT(!copy || copy->records.empty());
+}
+
+RC_GTEST_PROP(peer_bytes, that_were_changed_are_read_or_dropped, ())
+{
+    auto report = peer_report{};
+    report.ip = "10.0.0.1";
+    report.leaving = {{endpoint_id{"a"}, 11}};
+    auto bytes = write_peer_report(report);
+    auto const at = *rc::gen::inRange<std::size_t>(0, bytes.size());
+    bytes[at] = *rc::gen::arbitrary<char>();
+    // Must not throw; what it holds does not matter.
+    std::ignore = read_peer_report(bytes);
+}
+
+} // namespace
+} // namespace sapphirereel::relay
--- /dev/null
+++ b/test/support/relay/relay_world.hpp
@@ -0,0 +1,293 @@
+/// \file
+/// A relay with replicas, a log and a caller of a test's own, on one event loop
+/// in the test's process.
+#ifndef SAPPHIREREEL_TEST_SUPPORT_RELAY_RELAY_WORLD_HPP
+#define SAPPHIREREEL_TEST_SUPPORT_RELAY_RELAY_WORLD_HPP
+
+#include "sapphirereel/deployment/record_reader.hpp"
+#include "sapphirereel/deployment/wire_format.hpp"
+#include "sapphirereel/relay/relay_node.hpp"
+
+#include <asio/post.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace sapphirereel::relay::test {
+
+/// A log whose records a test writes.
+class fake_log
+{
+public:
+    explicit fake_log(asio::io_context& loop)
+        : loop_(&loop)
+    {}
+
+    auto write(
+        keyed_stream stream, std::string key, std::optional<std::string> value)
+        -> void
+    {
+        auto& records = records_[stream];
+        records.push_back({std::move(key), records.size(), std::move(value)});
+    }
+
+    auto newest(keyed_stream stream, keyed_page_handler done) -> void
+    {
+        auto page = keyed_page{{}, records_[stream].size()};
+        auto newest = std::map<std::string, keyed_record>{};
+        for (auto const& each : records_[stream])
+        {
+            newest[each.key] = each;
+        }
+        for (auto const& [key, each] : newest)
+        {
+            if (each.value)
+            {
+                page.records.push_back(each);
+            }
+        }
+        answer(std::move(page), std::move(done));
+    }
+
+    auto read(
+        keyed_stream stream,
+        std::uint64_t from,
+        duration,
+        keyed_page_handler done) -> void
+    {
+        auto const& records = records_[stream];
+        auto page = keyed_page{{}, records.size()};
+        for (auto at = from; at < records.size(); ++at)
+        {
+            page.records.push_back(records[at]);
+        }
+        answer(std::move(page), std::move(done));
+    }
+
+    /// Whether calls are answered.
+    bool is_up = true;
+
+private:
+    auto answer(keyed_page page, keyed_page_handler done) -> void
+    {
+        auto result = tl::expected<keyed_page, log_trouble>{std::move(page)};
+        if (!is_up)
+        {
+            result = tl::unexpected(log_trouble::unanswered);
+        }
+        asio::post(
+            *loop_, [result = std::move(result), done = std::move(done)] {
+                done(result);
+            });
+    }
+
+    asio::io_context* loop_;
+    std::map<keyed_stream, std::vector<keyed_record>> records_;
+};
+
+/// A port that nothing listens on at the moment.
+inline auto free_port(asio::io_context& loop) -> std::uint16_t
+{
+    auto probe =
+        asio::ip::tcp::acceptor{loop, {asio::ip::make_address("127.0.0.1"), 0}};
+    return probe.local_endpoint().port();
+}
+
+/// A replica that answers as a test says.
+class fake_replica
+{
+public:
+    using handler = std::function<void(
+        std::shared_ptr<caller_session>, http::request const&)>;
+
+    fake_replica(asio::io_context& loop, handler serve)
+        : port(free_port(loop))
+        , serve_(std::move(serve))
+    {
+        listener_ = std::move(*listener::open(
+            loop, {asio::ip::make_address("127.0.0.1"), port},
+            [this](asio::ip::tcp::socket socket) {
+                caller_session::start(
+                    std::move(socket), [] { return caller_limits{}; },
+                    [this](
+                        std::shared_ptr<caller_session> from,
+                        http::request const& request) {
+                        requests.push_back(request);
+                        serve_(std::move(from), request);
+                    });
+            }));
+    }
+
+    std::uint16_t port;
+    std::vector<http::request> requests;
+
+private:
+    handler serve_;
+    std::unique_ptr<listener> listener_;
+};
+
+/// The fields with which a replica answers a request it ran.
+inline auto signed_fields(http::request const& request) -> http::field_list
+{
+    return {
+        {"X-Sapphirereel-Request-Id",
+         std::string{*http::find(request.fields, "X-Sapphirereel-Request-Id")}},
+        {"X-Sapphirereel-Response-Signature", "sig"}};
+}
+
+/// Serves a request well.
+inline auto serve_well(
+    std::shared_ptr<caller_session> const& from, http::request const& request)
+    -> void
+{
+    from->respond(200, signed_fields(request), "done");
+}
+
+/// One relay and what surrounds it.
+class relay_world
+{
+public:
+    relay_world()
+        : log(loop)
+        , node_(
+              loop,
+              settings_on(free_port(loop), free_port(loop)),
+              log,
+              std::move(*length_estimator::create({})),
+              7)
+    {
+        node_.state().log = event_log{[this](std::string_view line) {
+            lines.emplace_back(line);
+            return true;
+        }};
+    }
+
+    /// Adds a replica of a service to the log.
+    auto add(
+        std::string const& id,
+        std::string const& service,
+        fake_replica const& replica,
+        std::string const& state = "ready") -> void
+    {
+        log.write(
+            keyed_stream::replicas, id,
+            fmt::format(
+                R"({{"service":"{}","address":"127.0.0.1:{}","zone":"z",)"
+                R"("slots":4,"state":"{}"}})",
+                service, replica.port, state));
+    }
+
+    /// Puts a configuration into the log: routes /safe/, /once/ and /stream/,
+    /// the first two to the service `plain`, the last to `engine`.
+    auto configure(int version, std::string const& extra = {}) -> void
+    {
+        log.write(
+            keyed_stream::configuration, "config",
+            fmt::format(
+                R"({{"version":{},"routes":[)"
+                R"({{"name":"safe","host":"h","path-prefix":"/safe/",)"
+                R"("kind":"safe","service":"plain","max-attempts":2,)"
+                R"("timeout-ms":1500,"target-latency-ms":150}},)"
+                R"({{"name":"once","host":"h","path-prefix":"/once/",)"
+                R"("kind":"unsafe","service":"plain","timeout-ms":1500,)"
+                R"("target-latency-ms":150}},)"
+                R"({{"name":"stream","host":"h","path-prefix":"/stream/",)"
+                R"("kind":"streaming","service":"engine",)"
+                R"("timeout-ms":5000}}],)"
+                R"("services":[{{"name":"plain"}},{{"name":"engine",)"
+                R"("engine":{{"kv-cache-tokens":9000,"kv-token-bytes":10,)"
+                R"("link-mbps":1000,"moves":true,"backups":true,)"
+                R"("stride":1}}}}]{}}})",
+                version, extra));
+    }
+
+    /// Starts the relay and waits until it has read the log.
+    auto start() -> bool
+    {
+        return node_.start().has_value() && run_until([this] {
+                   return node_.is_ready() &&
+                          !node_.state().replicas.replicas().empty();
+               });
+    }
+
+    /// Runs the loop until a condition holds, for a few seconds at most.
+    template <class Condition>
+    auto run_until(Condition holds) -> bool
+    {
+        auto const end =
+            std::chrono::steady_clock::now() + std::chrono::seconds{8};
+        while (!holds() && std::chrono::steady_clock::now() < end)
+        {
+            loop.run_for(std::chrono::milliseconds{2});
+            loop.restart();
+        }
+        return holds();
+    }
+
+    /// Sends a request as a caller does.
+    auto ask(
+        std::string const& method,
+        std::string const& target,
+        http::field_list fields = {}) -> whole_answer
+    {
+        fields.push_back({"Host", "h"});
+        fields.push_back({"X-Sapphirereel-Request-Id", "r1"});
+        auto got = std::optional<whole_answer>{};
+        whole_call::start(
+            loop, pool_, caller_address(),
+            http::write_request(method, target, fields, {}),
+            std::chrono::seconds{6},
+            [&got](whole_answer answer) { got = std::move(answer); });
+        run_until([&got] { return got.has_value(); });
+        return got ? *got
+                   : tl::unexpected(
+                         call_failure{call_stage::waiting, "the test's end"});
+    }
+
+    [[nodiscard]] auto caller_address() const -> asio::ip::tcp::endpoint
+    {
+        return {asio::ip::make_address("127.0.0.1"), caller_port_};
+    }
+
+    auto node() -> auto&
+    {
+        return node_;
+    }
+
+    /// Whether a line with a message was written.
+    [[nodiscard]] auto logged(std::string_view message) const -> bool
+    {
+        return std::any_of(
+            lines.begin(), lines.end(), [&](std::string const& line) {
+                return line.find(message) != std::string::npos;
+            });
+    }
+
+    asio::io_context loop;
+    fake_log log;
+    std::vector<std::string> lines;
+
+private:
+    auto settings_on(std::uint16_t callers, std::uint16_t peers)
+        -> relay_settings
+    {
+        caller_port_ = callers;
+        auto settings = relay_settings{};
+        settings.zone = zone_name{"z"};
+        settings.callers = {"127.0.0.1", callers};
+        settings.peers = {"127.0.0.1", peers};
+        settings.retry_budget = {0.2, 50, std::chrono::seconds{10}};
+        return settings;
+    }
+
+    std::uint16_t caller_port_ = 0;
+    upstream_pool pool_{loop};
+    relay_node<deployment::wire_format, fake_log, deployment::record_reader>
+        node_;
+};
+
+} // namespace sapphirereel::relay::test
+
+#endif
