Pace reports between daemons by their number

Now the interval grows with the daemons (100 reports a second each), load goes to the own zone at once and to others with the regular report, and a report tells only news of the last 3 s.

--- a/packages/relay/include/sapphirereel/relay/peer_table.hpp
+++ b/packages/relay/include/sapphirereel/relay/peer_table.hpp
@@ -30,6 +30,10 @@
     [[nodiscard]] auto targets(time_point now, bool with_silent) const
         -> std::vector<std::string>;
 
+    /// Addresses of the daemons of a zone that are alive.
+    [[nodiscard]] auto targets_in(zone_name const& zone, time_point now) const
+        -> std::vector<std::string>;
+
     /// The last reports of the daemons that are alive.
     [[nodiscard]] auto alive(time_point now) const -> std::vector<peer_report>;
 
@@ -49,6 +53,9 @@
         time_point heard_at;
     };
 
+    [[nodiscard]] auto is_alive(peer const& which, time_point now) const
+        -> bool;
+
     std::string own_ip_;
     std::set<std::string> seen_;
     std::map<std::string, peer> peers_;
--- a/packages/relay/include/sapphirereel/relay/reader_rank.hpp
+++ b/packages/relay/include/sapphirereel/relay/reader_rank.hpp
@@ -18,8 +18,9 @@
 auto reads_closely(
     std::string_view own_ip, std::vector<peer_report> const& alive) -> bool;
 
-/// How the streams are followed by a daemon that reads closely or not.
-auto follow_settings_of(bool closely) -> follow_settings;
+/// How the streams are followed by a daemon that reads closely or not, where
+/// there are so many daemons.
+auto follow_settings_of(bool closely, std::size_t daemons) -> follow_settings;
 
 } // namespace sapphirereel::relay
 
--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -4,6 +4,7 @@
 #ifndef SAPPHIREREEL_RELAY_RELAY_NODE_HPP
 #define SAPPHIREREEL_RELAY_RELAY_NODE_HPP
 
+#include "sapphirereel/relay/leaving_news.hpp"
 #include "sapphirereel/relay/listener.hpp"
 #include "sapphirereel/relay/log_follower.hpp"
 #include "sapphirereel/relay/peer_socket.hpp"
@@ -11,6 +12,7 @@
 #include "sapphirereel/relay/plain_exchange.hpp"
 #include "sapphirereel/relay/reader_rank.hpp"
 #include "sapphirereel/relay/record_exchange.hpp"
+#include "sapphirereel/relay/report_pace.hpp"
 #include "sapphirereel/relay/stream_exchange.hpp"
 
 #include <list>
@@ -44,11 +46,8 @@
     auto operator<=>(relay_settings const&) const = default;
 };
 
-/// How often a daemon reports to its peers when nothing changes, and how soon
-/// after a change.
-inline constexpr auto report_interval =
-    duration{std::chrono::milliseconds{250}};
-inline constexpr auto report_delay = duration{std::chrono::milliseconds{15}};
+/// Time between two looks at what is due.
+inline constexpr auto tick_interval = duration{std::chrono::milliseconds{50}};
 
 /// Every which report goes to silent daemons as well.
 inline constexpr auto reports_to_silent = 4;
@@ -73,10 +72,6 @@
 /// after the log has come back: entries that lapsed meanwhile come again.
 inline constexpr auto lapse_grace = duration{std::chrono::milliseconds{2'200}};
 
-/// Records of the replicas' stream for which daemons tell each other that a
-/// replica leaves.
-inline constexpr auto told_leaving_records = std::uint64_t{200};
-
 /// Most requests served at once.
 inline constexpr auto most_active = std::size_t{1'500};
 
@@ -105,14 +100,14 @@
               loop,
               log,
               keyed_stream::configuration,
-              follow_settings_of(true),
+              follow_settings_of(true, 1),
               seed,
               [this] { configuration_changed(); })
         , replicas_(
               loop,
               log,
               keyed_stream::replicas,
-              follow_settings_of(true),
+              follow_settings_of(true, 1),
               seed + 1,
               [this] { replicas_changed(); })
         , tick_(loop)
@@ -120,7 +115,7 @@
         , stop_timer_(loop)
     {
         state_.load_changed = [this] {
-            report_shortly();
+            report_shortly(report_scope::zone);
         };
     }
 
@@ -212,7 +207,7 @@
         stop_began_ = telemetry::monotonic_now();
         state_.log.info(
             "stop", "stopping as planned", {{"active", state_.active}});
-        send_report(true);
+        send_report(report_scope::silent);
         watch_stop();
     }
 
@@ -325,7 +320,7 @@
                  {"before", version_before},
                  {"offset", record.offset},
                  {"routes", state_.table->configuration().routes.size()}});
-            report_shortly();
+            report_shortly(report_scope::all);
         }
     }
 
@@ -345,8 +340,7 @@
                      {"why", read.error()}});
                 continue;
             }
-            auto const told = told_leaving_.find(read->id);
-            if (told != told_leaving_.end() && told->second >= record.offset)
+            if (leaving_.covers(read->id, record.offset))
             {
                 read->leaving = true;
             }
@@ -380,11 +374,8 @@
         }
         for (auto const& [id, each] : state_.replicas.replicas())
         {
-            auto const told = told_leaving_.find(id);
-            auto const is_known_gone =
-                told != told_leaving_.end() &&
-                told->second >=
-                    replicas_.cache().offset_of(id.str()).value_or(0);
+            auto const is_known_gone = leaving_.covers(
+                id, replicas_.cache().offset_of(id.str()).value_or(0));
             if (!present.contains(id) && !each.leaving && !is_known_gone)
             {
                 listed.push_back(each);
@@ -410,9 +401,8 @@
              {"offset", offset.value_or(0)}});
         if (offset)
         {
-            auto& told = told_leaving_[which.id];
-            told = std::max(told, *offset);
-            report_shortly();
+            leaving_.note({which.id, *offset}, now);
+            report_shortly(report_scope::all);
         }
         for (auto* const each : streams)
         {
@@ -438,38 +428,56 @@
         report.is_in_touch = is_in_touch() && !state_.stopping;
         report.configuration_next = configuration_.cache().next();
         report.replicas_next = replicas_.cache().next();
-        for (auto const& [id, offset] : told_leaving_)
-        {
-            report.leaving.push_back({id, offset});
-        }
+        report.leaving = leaving_.to_tell(telemetry::monotonic_now());
         report.load = state_.replicas.own_load();
-        report.known = peers_.known();
         return report;
     }
 
-    auto send_report(bool with_silent) -> void
+    /// Who is told.
+    enum class report_scope
+    {
+        /// Daemons of this zone, which place work on the same replicas first.
+        zone,
+        /// All daemons that are alive.
+        all,
+        /// Also those that were heard of and don't answer.
+        silent
+    };
+
+    auto send_report(report_scope scope) -> void
     {
-        auto const bytes = write_peer_report(make_report());
         auto const now = telemetry::monotonic_now();
-        for (auto const& ip : peers_.targets(now, with_silent))
+        auto report = make_report();
+        if (scope == report_scope::silent)
+        {
+            report.known = peers_.known();
+        }
+        auto const bytes = write_peer_report(report);
+        auto const targets =
+            scope == report_scope::zone
+                ? peers_.targets_in(settings_.zone, now)
+                : peers_.targets(now, scope == report_scope::silent);
+        for (auto const& ip : targets)
         {
             state_.metrics.add(relay_counter::peer_reports_sent);
             datagrams_->send(ip, bytes);
         }
     }
 
-    auto report_shortly() -> void
+    /// Reports a change soon, with others that come until then.
+    auto report_shortly(report_scope scope) -> void
     {
+        due_scope_ = std::max(due_scope_, scope);
         if (std::exchange(report_due_, true))
         {
             return;
         }
-        report_soon_.expires_after(report_delay);
+        report_soon_.expires_after(report_delay(state_.daemons));
         report_soon_.async_wait([this](std::error_code error) {
             report_due_ = false;
             if (!error)
             {
-                send_report(false);
+                send_report(std::exchange(due_scope_, report_scope::zone));
             }
         });
     }
@@ -485,19 +493,16 @@
         state_.metrics.add(relay_counter::peer_reports_received);
         state_.daemons = peers_.most_daemons();
         state_.replicas.set_peer_load(daemon_id{report->ip}, report->load, now);
-        learn_leaving(*report);
+        learn_leaving(*report, now);
         fetch_if_behind(*report, now);
     }
 
-    auto learn_leaving(peer_report const& report) -> void
+    auto learn_leaving(peer_report const& report, time_point now) -> void
     {
         auto news = false;
         for (auto const& each : report.leaving)
         {
-            auto const [held, is_new] =
-                told_leaving_.try_emplace(each.id, each.offset);
-            news = news || is_new || each.offset > held->second;
-            held->second = std::max(held->second, each.offset);
+            news = leaving_.note(each, now) || news;
         }
         if (news)
         {
@@ -593,7 +598,7 @@
     auto tick() -> void
     {
         auto const now = telemetry::monotonic_now();
-        send_report(++ticks_ % reports_to_silent == 0);
+        report_regularly(now);
         state_.pool.expire(now);
         share_reading(now);
         sessions_.remove_if([](std::weak_ptr<caller_session> const& each) {
@@ -605,8 +610,8 @@
             recheck_lapsed_at_ = {};
             replicas_changed();
         }
-        forget_told();
-        tick_.expires_after(report_interval);
+        leaving_.expire(now);
+        tick_.expires_after(tick_interval);
         tick_.async_wait([this](std::error_code error) {
             if (!error)
             {
@@ -628,19 +633,20 @@
         state_.log.info(
             "log", closely ? "reads closely" : "leaves close reading to others",
             {{"peers", peers_.alive(now).size()}});
-        configuration_.follow(follow_settings_of(closely));
-        replicas_.follow(follow_settings_of(closely));
+        configuration_.follow(follow_settings_of(closely, state_.daemons));
+        replicas_.follow(follow_settings_of(closely, state_.daemons));
     }
 
-    /// Forgets replicas said to leave once the log has got well past it.
-    auto forget_told() -> void
+    auto report_regularly(time_point now) -> void
     {
-        std::erase_if(told_leaving_, [&](auto const& each) {
-            auto const& cache = replicas_.cache();
-            return cache.find(each.first.str()) == nullptr &&
-                   replicas_.is_in_touch() &&
-                   cache.next() > each.second + told_leaving_records;
-        });
+        if (now < next_report_at_)
+        {
+            return;
+        }
+        next_report_at_ = now + report_interval(state_.daemons);
+        send_report(
+            reports_++ % reports_to_silent == 0 ? report_scope::silent
+                                                : report_scope::all);
     }
 
     // The planned stop.
@@ -687,8 +693,7 @@
     std::unique_ptr<listener> control_;
     std::unique_ptr<peer_socket> datagrams_;
     std::list<std::weak_ptr<caller_session>> sessions_;
-    /// Replicas said to leave, with the offset of the record that says so.
-    std::map<endpoint_id, std::uint64_t> told_leaving_;
+    leaving_news leaving_;
     asio::steady_timer tick_;
     asio::steady_timer report_soon_;
     asio::steady_timer stop_timer_;
@@ -696,7 +701,9 @@
     time_point stop_began_{};
     time_point next_fetch_at_{};
     time_point recheck_lapsed_at_{};
-    std::uint64_t ticks_ = 0;
+    time_point next_report_at_{};
+    std::uint64_t reports_ = 0;
+    report_scope due_scope_ = report_scope::zone;
     bool reads_closely_ = true;
     bool report_due_ = false;
     bool stop_closes_idle_ = false;
--- a/packages/relay/src/peer_table.cpp
+++ b/packages/relay/src/peer_table.cpp
@@ -1,13 +1,12 @@
 #include "sapphirereel/relay/peer_table.hpp"
 
+#include "sapphirereel/relay/report_pace.hpp"
+
 #include <utility>
 
 namespace sapphirereel::relay {
 namespace {
 
-/// Silence after which a daemon no longer counts as alive.
-constexpr auto alive_for = duration{std::chrono::milliseconds{1'200}};
-
 /// Most addresses that one report tells of.
 constexpr auto most_told = std::size_t{24};
 
@@ -59,9 +58,9 @@
     for (auto const& ip : seen_)
     {
         auto const found = peers_.find(ip);
-        auto const is_alive =
-            found != peers_.end() && now - found->second.heard_at <= alive_for;
-        if (is_alive || with_silent)
+        auto const answers =
+            found != peers_.end() && is_alive(found->second, now);
+        if (answers || with_silent)
         {
             listed.push_back(ip);
         }
@@ -74,7 +73,7 @@
     auto listed = std::vector<peer_report>{};
     for (auto const& [ip, each] : peers_)
     {
-        if (now - each.heard_at <= alive_for)
+        if (is_alive(each, now))
         {
             listed.push_back(each.last);
         }
@@ -82,6 +81,25 @@
     return listed;
 }
 
+auto peer_table::is_alive(peer const& which, time_point now) const -> bool
+{
+    return now - which.heard_at <= alive_limit(most_daemons());
+}
+
+auto peer_table::targets_in(zone_name const& zone, time_point now) const
+    -> std::vector<std::string>
+{
+    auto listed = std::vector<std::string>{};
+    for (auto const& [ip, each] : peers_)
+    {
+        if (each.last.zone == zone && is_alive(each, now))
+        {
+            listed.push_back(ip);
+        }
+    }
+    return listed;
+}
+
 auto peer_table::known() const -> std::vector<std::string>
 {
     auto listed = std::vector<std::string>{};
--- a/packages/relay/src/reader_rank.cpp
+++ b/packages/relay/src/reader_rank.cpp
@@ -1,5 +1,7 @@
 #include "sapphirereel/relay/reader_rank.hpp"
 
+#include "sapphirereel/relay/report_pace.hpp"
+
 #include <algorithm>
 
 namespace sapphirereel::relay {
@@ -13,11 +15,7 @@
 
 /// How a stream is followed closely: each read waits for the next record.
 constexpr auto close_following =
-    follow_settings{milliseconds{5'000}, milliseconds{5}};
-
-/// How a stream is followed otherwise: now and then, in case no peer tells.
-constexpr auto distant_following =
-    follow_settings{duration{0}, milliseconds{3'000}};
+    follow_settings{milliseconds{5'000}, milliseconds{10}};
 
 } // namespace
 
@@ -31,9 +29,11 @@
     return before < close_readers;
 }
 
-auto follow_settings_of(bool closely) -> follow_settings
+auto follow_settings_of(bool closely, std::size_t daemons) -> follow_settings
 {
-    return closely ? close_following : distant_following;
+    // From a distance it is read now and then, in case no peer tells.
+    return closely ? close_following
+                   : follow_settings{duration{0}, distant_read_pause(daemons)};
 }
 
 } // namespace sapphirereel::relay
