Compare fewer replicas, wait for room at the daemon, copy less when full

Now a choice compares 12 replicas, those of the own zone first; a stream waits at the daemon while no replica has room, with a limit that rises with the wait so that large ones pass; runs are copied while the mean memory is under 0.65. The peers' counts are summed as they come, not at each choice.

--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -49,6 +49,13 @@
 /// Time between two looks at what is due.
 inline constexpr auto tick_interval = duration{std::chrono::milliseconds{50}};
 
+/// Time from the start in which a daemon hears of its peers, and how it follows
+/// the log until then: were all to wait for news, each start would cost a read
+/// a daemon and record.
+inline constexpr auto hearing_time = duration{std::chrono::milliseconds{1'200}};
+inline constexpr auto follow_settings_at_start =
+    follow_settings{duration{0}, duration{std::chrono::milliseconds{500}}};
+
 /// Every which report goes to silent daemons as well.
 inline constexpr auto reports_to_silent = 4;
 
@@ -100,14 +107,14 @@
               loop,
               log,
               keyed_stream::configuration,
-              follow_settings_of(true, 1),
+              follow_settings_at_start,
               seed,
               [this] { configuration_changed(); })
         , replicas_(
               loop,
               log,
               keyed_stream::replicas,
-              follow_settings_of(true, 1),
+              follow_settings_at_start,
               seed + 1,
               [this] { replicas_changed(); })
         , tick_(loop)
@@ -150,6 +157,7 @@
             return tl::unexpected(datagrams.error());
         }
         datagrams_ = std::move(*datagrams);
+        started_at_ = telemetry::monotonic_now();
         configuration_.start();
         replicas_.start();
         tick();
@@ -600,7 +608,6 @@
         auto const now = telemetry::monotonic_now();
         report_regularly(now);
         state_.pool.expire(now);
-        share_reading(now);
         sessions_.remove_if([](std::weak_ptr<caller_session> const& each) {
             auto const held = each.lock();
             return !held || !held->is_open();
@@ -623,18 +630,22 @@
     /// Reads the log closely, or leaves that to others.
     auto share_reading(time_point now) -> void
     {
+        if (now - started_at_ < hearing_time)
+        {
+            return;
+        }
         auto const closely =
             reads_closely(settings_.peers.ip, peers_.alive(now));
-        if (closely == reads_closely_)
+        auto const settings = follow_settings_of(closely, state_.daemons);
+        configuration_.follow(settings);
+        replicas_.follow(settings);
+        if (std::exchange(reads_closely_, closely) != closely)
         {
-            return;
+            state_.log.info(
+                "log",
+                closely ? "reads closely" : "leaves close reading to others",
+                {{"daemons", state_.daemons}});
         }
-        reads_closely_ = closely;
-        state_.log.info(
-            "log", closely ? "reads closely" : "leaves close reading to others",
-            {{"peers", peers_.alive(now).size()}});
-        configuration_.follow(follow_settings_of(closely, state_.daemons));
-        replicas_.follow(follow_settings_of(closely, state_.daemons));
     }
 
     auto report_regularly(time_point now) -> void
@@ -644,6 +655,7 @@
             return;
         }
         next_report_at_ = now + report_interval(state_.daemons);
+        share_reading(now);
         send_report(
             reports_++ % reports_to_silent == 0 ? report_scope::silent
                                                 : report_scope::all);
@@ -701,10 +713,11 @@
     time_point stop_began_{};
     time_point next_fetch_at_{};
     time_point recheck_lapsed_at_{};
+    time_point started_at_{};
     time_point next_report_at_{};
     std::uint64_t reports_ = 0;
     report_scope due_scope_ = report_scope::zone;
-    bool reads_closely_ = true;
+    bool reads_closely_ = false;
     bool report_due_ = false;
     bool stop_closes_idle_ = false;
 };
--- a/packages/relay/include/sapphirereel/relay/replica_table.hpp
+++ b/packages/relay/include/sapphirereel/relay/replica_table.hpp
@@ -129,9 +129,14 @@
         return own_;
     }
 
-    /// The work on a replica by all counts.
-    [[nodiscard]] auto load_of(endpoint_id const& id, time_point now) const
-        -> replica_load;
+    /// The work on a replica by all counts that are held.
+    [[nodiscard]] auto load_of(endpoint_id const& id) const -> replica_load;
+
+    /// Mean share of the memory of a service's replicas that is in use by all
+    /// counts.
+    [[nodiscard]] auto mean_memory_share(
+        service_name const& service, engine_traits const& engine) const
+        -> double;
 
 private:
     struct peer_count
@@ -155,8 +160,7 @@
     [[nodiscard]] auto memory_share(
         replica const& candidate,
         placement_need const& need,
-        engine_traits const& engine,
-        time_point now) const -> double;
+        engine_traits const& engine) const -> double;
     [[nodiscard]] auto engine_score(
         replica const& candidate,
         placement_need const& need,
@@ -167,11 +171,17 @@
         std::optional<zone_name> const& memory_zone,
         time_point now) const -> double;
 
+    auto forget_peer_load(peer_count const& count) -> void;
+    auto expire_peers(time_point now) -> void;
+    auto candidates_for(placement_need const& need) -> std::vector<replica>;
+
     zone_name zone_;
     std::mt19937_64 generator_;
     std::map<endpoint_id, replica> replicas_;
     load_report own_;
     std::map<daemon_id, peer_count> peers_;
+    /// Sum of the peers' counts.
+    load_report of_peers_;
     std::map<endpoint_id, stated_count> stated_;
     std::map<endpoint_id, failure_count> failures_;
 };
--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -30,6 +30,14 @@
 inline constexpr auto least_output_for_backup = 100.0;
 inline constexpr auto most_share_for_backup = 0.7;
 
+/// Mean share of the replicas' memory in use up to which runs are copied.
+inline constexpr auto most_mean_share_for_backup = 0.65;
+
+/// Time between two looks for a replica with room, and the longest wait.
+inline constexpr auto room_interval = duration{std::chrono::milliseconds{40}};
+inline constexpr auto longest_wait_for_room =
+    duration{std::chrono::milliseconds{5'000}};
+
 /// Latest time after the news that a replica leaves at which a run on it is
 /// stopped to go on elsewhere.
 inline constexpr auto latest_stop_after_notice =
@@ -163,6 +171,12 @@
             give_up(refusal_reason::no_replica, 502, "no replica is left");
             return;
         }
+        auto const waited = now - all_.began;
+        if (chosen->memory_share > most_memory_share(waited))
+        {
+            wait_for_room(waited);
+            return;
+        }
         if (!all_.may_send_again(now))
         {
             give_up(refusal_reason::retry_budget, 502, "no retry is left");
@@ -174,6 +188,17 @@
         send(chosen->target, *to, std::nullopt);
     }
 
+    /// Looks again soon; gives up where that would take too long.
+    auto wait_for_room(duration waited) -> void
+    {
+        if (waited >= longest_wait_for_room)
+        {
+            give_up(refusal_reason::overload, 502, "no replica has room");
+            return;
+        }
+        again_after(room_interval, [this] { attempt(); });
+    }
+
     auto log_sent(placement const& chosen, time_point now) -> void
     {
         all_.state.log.request(
@@ -188,6 +213,7 @@
              {"prompt_tokens", size_.prompt},
              {"expected_tokens", expected_output_},
              {"attempt", all_.sends + 1},
+             {"waited", now - all_.began},
              {"left", all_.remaining(now)}});
     }
 
@@ -233,8 +259,11 @@
         backup_.reset();
         backup_load_.release();
         auto const traits = all_.engine();
-        auto const is_worth_it = traits && traits->backups &&
-                                 expected_output_ >= least_output_for_backup;
+        auto const is_worth_it =
+            traits && traits->backups &&
+            expected_output_ >= least_output_for_backup &&
+            all_.state.replicas.mean_memory_share(all_.service, *traits) <=
+                most_mean_share_for_backup;
         if (!is_worth_it)
         {
             return;
@@ -375,6 +404,7 @@
                 head_->status, head_->reason, Format::answer_fields(*head_));
             all_.state.metrics.observe(
                 relay_timing::first_event, now - all_.began);
+            first_event_after_ = now - all_.began;
             load_.prompt_read();
             all_.state.load_changed();
         }
@@ -382,6 +412,7 @@
         {
             all_.state.metrics.observe(
                 relay_timing::pause, now - last_event_at_);
+            longest_pause_ = std::max(longest_pause_, now - last_event_at_);
         }
         note_resumed(now);
         last_event_at_ = now;
@@ -677,7 +708,7 @@
         auto const now = telemetry::monotonic_now();
         auto const traits = all_.engine();
         auto const tokens =
-            all_.state.replicas.load_of(target_.id, now).memory_tokens;
+            all_.state.replicas.load_of(target_.id).memory_tokens;
         auto const seconds = traits && traits->link_mbps > 0
                                  ? tokens * traits->bytes_per_token * 8 /
                                        (traits->link_mbps * 1e6)
@@ -792,6 +823,8 @@
             {{"replica", target_.id},
              {"status", head_->status},
              {"events", events_},
+             {"first_event_after", first_event_after_},
+             {"longest_pause", longest_pause_},
              {"after", now - all_.began}});
         if (!begun_)
         {
@@ -887,6 +920,8 @@
     std::optional<std::uint64_t> last_event_;
     time_point last_event_at_{};
     time_point noticed_at_{};
+    duration first_event_after_{0};
+    duration longest_pause_{0};
     std::uint64_t events_ = 0;
     std::uint64_t stopped_at_events_ = 0;
     std::string handle_;
--- a/packages/relay/src/replica_table.cpp
+++ b/packages/relay/src/replica_table.cpp
@@ -25,7 +25,7 @@
 
 /// Added to the score of a replica in another zone, in shares of a replica's
 /// capacity.
-constexpr auto zone_penalty = 0.02;
+constexpr auto zone_penalty = 0.05;
 
 /// Added to the score of a replica in another zone than the memory that is to
 /// be moved: a move takes twice as long there, and a leaving replica's link is
@@ -38,9 +38,43 @@
 /// Share of the memory from which a replica counts as full; the counts lag.
 constexpr auto full_share = 0.94;
 
+/// Most replicas that one choice compares, those of the own zone first: many
+/// daemons that all compare all would send to the same empty one.
+constexpr auto most_compared = std::size_t{12};
+
 /// Span of the random part that parts equal scores.
 constexpr auto tie_span = 0.01;
 
+auto add_to(
+    load_report& report, endpoint_id const& id, replica_load const& load)
+    -> void
+{
+    auto& sum = report[id];
+    sum.requests += load.requests;
+    sum.memory_tokens += load.memory_tokens;
+    sum.unread_tokens += load.unread_tokens;
+}
+
+/// A replica without requests leaves the report.
+auto take_from(
+    load_report& report, endpoint_id const& id, replica_load const& load)
+    -> void
+{
+    auto const found = report.find(id);
+    if (found == report.end())
+    {
+        return;
+    }
+    auto& sum = found->second;
+    sum.requests -= std::min(sum.requests, load.requests);
+    sum.memory_tokens = std::max(0.0, sum.memory_tokens - load.memory_tokens);
+    sum.unread_tokens = std::max(0.0, sum.unread_tokens - load.unread_tokens);
+    if (sum.requests == 0)
+    {
+        report.erase(found);
+    }
+}
+
 } // namespace
 
 replica_table::replica_table(zone_name zone, std::uint64_t seed)
@@ -85,39 +119,48 @@
 
 auto replica_table::add(endpoint_id const& id, replica_load const& load) -> void
 {
-    auto& sum = own_[id];
-    sum.requests += load.requests;
-    sum.memory_tokens += load.memory_tokens;
-    sum.unread_tokens += load.unread_tokens;
+    add_to(own_, id, load);
 }
 
 auto replica_table::remove(endpoint_id const& id, replica_load const& load)
     -> void
 {
-    auto const found = own_.find(id);
-    if (found == own_.end())
-    {
-        return;
-    }
-    auto& sum = found->second;
-    sum.requests -= std::min(sum.requests, load.requests);
-    sum.memory_tokens = std::max(0.0, sum.memory_tokens - load.memory_tokens);
-    sum.unread_tokens = std::max(0.0, sum.unread_tokens - load.unread_tokens);
-    if (sum.requests == 0)
+    take_from(own_, id, load);
+}
+
+auto replica_table::forget_peer_load(peer_count const& count) -> void
+{
+    for (auto const& [id, load] : count.report)
     {
-        own_.erase(found);
+        take_from(of_peers_, id, load);
     }
 }
 
-auto replica_table::set_peer_load(
-    daemon_id const& peer, load_report report, time_point now) -> void
+auto replica_table::expire_peers(time_point now) -> void
 {
-    peers_[peer] = {std::move(report), now};
     std::erase_if(peers_, [&](auto const& each) {
-        return now - each.second.at > peer_count_life;
+        auto const is_old = now - each.second.at > peer_count_life;
+        if (is_old)
+        {
+            forget_peer_load(each.second);
+        }
+        return is_old;
     });
 }
 
+auto replica_table::set_peer_load(
+    daemon_id const& peer, load_report report, time_point now) -> void
+{
+    auto& count = peers_[peer];
+    forget_peer_load(count);
+    for (auto const& [id, load] : report)
+    {
+        add_to(of_peers_, id, load);
+    }
+    count = {std::move(report), now};
+    expire_peers(now);
+}
+
 auto replica_table::stated(
     endpoint_id const& id, stated_load load, time_point now) -> void
 {
@@ -140,28 +183,36 @@
     failures_.erase(id);
 }
 
-auto replica_table::load_of(endpoint_id const& id, time_point now) const
-    -> replica_load
+auto replica_table::load_of(endpoint_id const& id) const -> replica_load
 {
     auto sum = replica_load{};
-    auto const add_from = [&](load_report const& report) {
-        auto const found = report.find(id);
-        if (found != report.end())
+    for (auto const* const report : {&own_, &of_peers_})
+    {
+        auto const found = report->find(id);
+        if (found != report->end())
         {
             sum.requests += found->second.requests;
             sum.memory_tokens += found->second.memory_tokens;
             sum.unread_tokens += found->second.unread_tokens;
         }
-    };
-    add_from(own_);
-    for (auto const& [peer, count] : peers_)
+    }
+    return sum;
+}
+
+auto replica_table::mean_memory_share(
+    service_name const& service, engine_traits const& engine) const -> double
+{
+    auto used = 0.0;
+    auto whole = 0.0;
+    for (auto const& [id, each] : replicas_)
     {
-        if (now - count.at <= peer_count_life)
+        if (each.service == service && !each.leaving)
         {
-            add_from(count.report);
+            used += load_of(id).memory_tokens;
+            whole += engine.memory_tokens;
         }
     }
-    return sum;
+    return whole > 0 ? used / whole : 0;
 }
 
 auto replica_table::penalty(
@@ -182,7 +233,7 @@
     -> double
 {
     auto const slots = std::max(1U, candidate.slots);
-    auto busy = load_of(candidate.id, now).requests;
+    auto busy = load_of(candidate.id).requests;
     auto const word = stated_.find(candidate.id);
     if (word != stated_.end() && now - word->second.at <= stated_load_life)
     {
@@ -196,11 +247,9 @@
 auto replica_table::memory_share(
     replica const& candidate,
     placement_need const& need,
-    engine_traits const& engine,
-    time_point now) const -> double
+    engine_traits const& engine) const -> double
 {
-    auto const used =
-        load_of(candidate.id, now).memory_tokens + need.memory_tokens;
+    auto const used = load_of(candidate.id).memory_tokens + need.memory_tokens;
     return engine.memory_tokens > 0 ? used / engine.memory_tokens : 0;
 }
 
@@ -210,8 +259,8 @@
     engine_traits const& engine,
     time_point now) const -> double
 {
-    auto const load = load_of(candidate.id, now);
-    auto const share = memory_share(candidate, need, engine, now);
+    auto const load = load_of(candidate.id);
+    auto const share = memory_share(candidate, need, engine);
     auto const overflow = std::max(0.0, share - full_share);
     auto const unread = engine.memory_tokens > 0
                             ? load.unread_tokens / engine.memory_tokens
@@ -223,37 +272,52 @@
            penalty(candidate, need.memory_zone, now);
 }
 
+auto replica_table::candidates_for(placement_need const& need)
+    -> std::vector<replica>
+{
+    auto usable = std::vector<replica>{};
+    for (auto const& [id, each] : replicas_)
+    {
+        if (each.service == need.service && !each.leaving &&
+            !need.excluded.contains(id))
+        {
+            usable.push_back(each);
+        }
+    }
+    if (usable.size() > most_compared)
+    {
+        std::shuffle(usable.begin(), usable.end(), generator_);
+        // Those of the memory's zone first, where a run is to be moved.
+        auto const near = need.memory_zone.value_or(zone_);
+        std::stable_partition(
+            usable.begin(), usable.end(),
+            [&](replica const& each) { return each.zone == near; });
+        usable.resize(most_compared);
+    }
+    return usable;
+}
+
 auto replica_table::choose(
     placement_need const& need,
     std::optional<engine_traits> const& engine,
     time_point now) -> std::optional<placement>
 {
+    expire_peers(now);
     auto best = std::optional<placement>{};
-    auto candidates = std::size_t{0};
     auto tie = std::uniform_real_distribution<double>{0, tie_span};
-    for (auto const& [id, each] : replicas_)
+    auto const candidates = candidates_for(need);
+    for (auto const& each : candidates)
     {
-        auto const usable = each.service == need.service && !each.leaving &&
-                            !need.excluded.contains(id);
-        if (!usable)
-        {
-            continue;
-        }
-        ++candidates;
         auto const score = (engine ? engine_score(each, need, *engine, now)
                                    : plain_score(each, now)) +
                            tie(generator_);
         if (!best || score < best->score)
         {
             best = placement{
-                each, score,
-                engine ? memory_share(each, need, *engine, now) : 0, 0};
+                each, score, engine ? memory_share(each, need, *engine) : 0,
+                candidates.size()};
         }
     }
-    if (best)
-    {
-        best->candidates = candidates;
-    }
     return best;
 }
 
