Let seeds introduce new daemons to all others

Cause: on the grown site 2,552 of 3,131 store calls fell before the first second of traffic. Daemons heard of each other over 3.4 s by gossip of 24 addresses, and until then each read the log closely, one call a record of 47 replicas that register. A seed now answers a daemon's first report with all addresses it knows, and a daemon reads from a distance for its first 2 s.

--- a/packages/relay/include/sapphirereel/relay/peer_table.hpp
+++ b/packages/relay/include/sapphirereel/relay/peer_table.hpp
@@ -37,9 +37,21 @@
     /// The last reports of the daemons that are alive.
     [[nodiscard]] auto alive(time_point now) const -> std::vector<peer_report>;
 
-    /// Addresses of daemons heard of, to be told to others.
+    /// Some addresses of daemons heard of, to be told to others.
     [[nodiscard]] auto known() const -> std::vector<std::string>;
 
+    /// All of them.
+    [[nodiscard]] auto all_known() const -> std::vector<std::string>
+    {
+        return {seen_.begin(), seen_.end()};
+    }
+
+    /// Whether a daemon has reported itself.
+    [[nodiscard]] auto has_heard(std::string const& ip) const -> bool
+    {
+        return peers_.contains(ip);
+    }
+
     /// Largest number of daemons, this one included, that may be running.
     [[nodiscard]] auto most_daemons() const -> std::size_t
     {
--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -52,9 +52,9 @@
 /// Time from the start in which a daemon hears of its peers, and how it follows
 /// the log until then: were all to wait for news, each start would cost a read
 /// a daemon and record.
-inline constexpr auto hearing_time = duration{std::chrono::milliseconds{1'200}};
+inline constexpr auto hearing_time = duration{std::chrono::milliseconds{2'000}};
 inline constexpr auto follow_settings_at_start =
-    follow_settings{duration{0}, duration{std::chrono::milliseconds{500}}};
+    follow_settings{duration{0}, duration{std::chrono::milliseconds{1'500}}};
 
 /// Every which report goes to silent daemons as well.
 inline constexpr auto reports_to_silent = 4;
@@ -472,6 +472,24 @@
         }
     }
 
+    /// Whether new daemons are told to begin with this one.
+    [[nodiscard]] auto is_seed() const -> bool
+    {
+        return std::find(
+                   settings_.seeds.begin(), settings_.seeds.end(),
+                   settings_.peers.ip) != settings_.seeds.end();
+    }
+
+    /// Tells a daemon that has just been heard of for the first time of all
+    /// others, so that it need not wait until they tell each other.
+    auto introduce_others_to(std::string const& ip) -> void
+    {
+        auto report = make_report();
+        report.known = peers_.all_known();
+        state_.metrics.add(relay_counter::peer_reports_sent);
+        datagrams_->send(ip, write_peer_report(report));
+    }
+
     /// Reports a change soon, with others that come until then.
     auto report_shortly(report_scope scope) -> void
     {
@@ -494,10 +512,19 @@
     {
         auto const report = read_peer_report(bytes);
         auto const now = telemetry::monotonic_now();
-        if (!report || !peers_.heard(*report, now))
+        if (!report)
+        {
+            return;
+        }
+        auto const is_newcomer = !peers_.has_heard(report->ip);
+        if (!peers_.heard(*report, now))
         {
             return;
         }
+        if (is_newcomer && is_seed())
+        {
+            introduce_others_to(report->ip);
+        }
         state_.metrics.add(relay_counter::peer_reports_received);
         state_.daemons = peers_.most_daemons();
         state_.replicas.set_peer_load(daemon_id{report->ip}, report->load, now);
