--- a/packages/relay/include/sapphirereel/relay/log_follower.hpp
+++ b/packages/relay/include/sapphirereel/relay/log_follower.hpp
@@ -84,20 +84,23 @@
 class log_follower
 {
 public:
-    /// `changed` is told when the copy has news.
+    /// `changed` is told when the copy has news, `touch_changed` when the log
+    /// is lost and when it answers again.
     log_follower(
         asio::io_context& loop,
         Log& log,
         keyed_stream stream,
         follow_settings const& settings,
         std::uint64_t seed,
-        std::function<void()> changed)
+        std::function<void()> changed,
+        std::function<void(bool is_lost)> touch_changed)
         : log_(log)
         , stream_(stream)
         , settings_(settings)
         , timer_(loop)
         , random_(seed)
         , changed_(std::move(changed))
+        , touch_changed_(std::move(touch_changed))
     {}
 
     auto start() -> void
@@ -131,12 +134,6 @@
         return cache_;
     }
 
-    /// When the log last answered.
-    [[nodiscard]] auto answered_at() const -> time_point
-    {
-        return answered_at_;
-    }
-
     /// When the log last began to answer again after it had not.
     [[nodiscard]] auto regained_at() const -> time_point
     {
@@ -208,10 +205,10 @@
 
     auto answered() -> void
     {
-        answered_at_ = telemetry::monotonic_now();
         if (is_lost())
         {
-            regained_at_ = answered_at_;
+            regained_at_ = telemetry::monotonic_now();
+            touch_changed_(false);
         }
         failures_ = 0;
     }
@@ -219,6 +216,10 @@
     auto failed() -> void
     {
         ++failures_;
+        if (failures_ == failures_of_loss)
+        {
+            touch_changed_(true);
+        }
         auto const doublings = std::min(failures_ - 1, 4U);
         read_later(std::min(longest_delay, first_delay * (1U << doublings)));
     }
@@ -253,8 +254,8 @@
     asio::steady_timer timer_;
     std::mt19937_64 random_;
     std::function<void()> changed_;
+    std::function<void(bool)> touch_changed_;
     record_cache cache_;
-    time_point answered_at_{};
     time_point regained_at_{};
     std::uint32_t failures_ = 0;
     bool has_newest_ = false;
--- a/packages/relay/include/sapphirereel/relay/peer_table.hpp
+++ b/packages/relay/include/sapphirereel/relay/peer_table.hpp
@@ -22,6 +22,9 @@
     /// `own_ip` is left out wherever it is heard of.
     peer_table(std::string own_ip, std::vector<std::string> const& seeds);
 
+    /// Adds addresses at which daemons may be found.
+    auto add(std::vector<std::string> const& seeds) -> void;
+
     /// Takes in a report. False if it is older than what is known.
     auto heard(peer_report const& report, time_point now) -> bool;
 
--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -109,14 +109,20 @@
               keyed_stream::configuration,
               follow_settings_at_start,
               seed,
-              [this] { configuration_changed(); })
+              [this] { configuration_changed(); },
+              [this](bool is_lost) {
+                  log_touch(keyed_stream::configuration, is_lost);
+              })
         , replicas_(
               loop,
               log,
               keyed_stream::replicas,
               follow_settings_at_start,
               seed + 1,
-              [this] { replicas_changed(); })
+              [this] { replicas_changed(); },
+              [this](bool is_lost) {
+                  log_touch(keyed_stream::replicas, is_lost);
+              })
         , tick_(loop)
         , report_soon_(loop)
         , stop_timer_(loop)
@@ -219,6 +225,17 @@
         watch_stop();
     }
 
+    /// Takes up what may change while the process runs: where daemons may be
+    /// found.
+    auto reload(relay_settings const& settings) -> void
+    {
+        settings_.seeds = settings.seeds;
+        peers_.add(settings.seeds);
+        state_.log.info(
+            "reload", "took up the settings",
+            {{"seeds", settings.seeds.size()}});
+    }
+
     [[nodiscard]] auto state() -> relay_state&
     {
         return state_;
@@ -300,6 +317,14 @@
 
     // What is known.
 
+    auto log_touch(keyed_stream stream, bool is_lost) -> void
+    {
+        state_.log.warning(
+            "log", is_lost ? "lost" : "regained",
+            {{"stream", std::string{name_of(stream)}},
+             {"next", follower_of(stream).cache().next()}});
+    }
+
     auto configuration_changed() -> void
     {
         auto const version_before =
@@ -675,6 +700,31 @@
         }
     }
 
+    /// Logs who has fallen silent and who is heard again.
+    auto log_peers(time_point now) -> void
+    {
+        auto heard = std::set<std::string>{};
+        for (auto const& ip : peers_.targets(now, false))
+        {
+            heard.insert(ip);
+            if (!alive_peers_.contains(ip))
+            {
+                state_.log.info("peers", "heard", {{"peer", ip}});
+            }
+        }
+        for (auto const& ip : alive_peers_)
+        {
+            if (!heard.contains(ip))
+            {
+                state_.log.warning(
+                    "peers", "silent",
+                    {{"peer", ip},
+                     {"limit", alive_limit(peers_.most_daemons())}});
+            }
+        }
+        alive_peers_ = std::move(heard);
+    }
+
     auto report_regularly(time_point now) -> void
     {
         if (now < next_report_at_)
@@ -683,6 +733,7 @@
         }
         next_report_at_ = now + report_interval(state_.daemons);
         share_reading(now);
+        log_peers(now);
         send_report(
             reports_++ % reports_to_silent == 0 ? report_scope::silent
                                                 : report_scope::all);
@@ -733,6 +784,7 @@
     std::unique_ptr<peer_socket> datagrams_;
     std::list<std::weak_ptr<caller_session>> sessions_;
     leaving_news leaving_;
+    std::set<std::string> alive_peers_;
     asio::steady_timer tick_;
     asio::steady_timer report_soon_;
     asio::steady_timer stop_timer_;
--- a/packages/relay/src/peer_table.cpp
+++ b/packages/relay/src/peer_table.cpp
@@ -20,6 +20,12 @@
     seen_.erase(own_ip_);
 }
 
+auto peer_table::add(std::vector<std::string> const& seeds) -> void
+{
+    seen_.insert(seeds.begin(), seeds.end());
+    seen_.erase(own_ip_);
+}
+
 auto peer_table::heard(peer_report const& report, time_point now) -> bool
 {
     if (report.ip == own_ip_ || report.ip.empty())
