Move runs off a leaving replica one after the other

Daemons now tell how much memory they would have to move off each replica and take turns in the order of their names; a run is stopped as soon as its own copy is made.

--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -97,6 +97,7 @@
         : settings_(std::move(settings))
         , state_(
               loop,
+              daemon_id{settings_.peers.ip},
               settings_.zone,
               settings_.retry_budget,
               std::move(lengths),
@@ -437,9 +438,10 @@
             leaving_.note({which.id, *offset}, now);
             report_shortly(report_scope::all);
         }
+        auto ahead = state_.replicas.movable_ahead(which.id, state_.self);
         for (auto* const each : streams)
         {
-            each->replica_leaves(now);
+            ahead += each->replica_leaves(now, ahead);
         }
         if (auto const to = address_of(which))
         {
--- a/packages/relay/include/sapphirereel/relay/relay_state.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_state.hpp
@@ -26,7 +26,10 @@
     virtual ~leaving_listener() = default;
 
     /// The replica that the stream runs on takes no more work and will end.
-    virtual auto replica_leaves(time_point now) -> void = 0;
+    /// `tokens_ahead` of other streams' memory are to be moved off it first.
+    /// Returns the memory that this stream moves itself, in tokens.
+    virtual auto replica_leaves(time_point now, double tokens_ahead)
+        -> double = 0;
 
 protected:
     leaving_listener() = default;
@@ -39,11 +42,13 @@
 {
     relay_state(
         asio::io_context& on,
+        daemon_id own_name,
         zone_name zone,
         retry_budget_terms const& terms,
         length_estimator lengths,
         std::uint64_t seed)
         : loop(on)
+        , self(std::move(own_name))
         , pool(on)
         , replicas(std::move(zone), seed)
         , retry_terms(terms)
@@ -58,6 +63,8 @@
     }
 
     asio::io_context& loop;
+    /// The name under which peers know this daemon.
+    daemon_id self;
     upstream_pool pool;
     replica_table replicas;
     std::shared_ptr<routing_table const> table;
--- a/packages/relay/include/sapphirereel/relay/replica_table.hpp
+++ b/packages/relay/include/sapphirereel/relay/replica_table.hpp
@@ -42,6 +42,9 @@
     double memory_tokens = 0;
     /// Prompt tokens of streams whose first event has not come.
     double unread_tokens = 0;
+    /// Memory of streams that would have to be moved if the replica left, in
+    /// tokens: those of which no other replica keeps a copy.
+    double movable_tokens = 0;
     auto operator<=>(replica_load const&) const = default;
 };
 
@@ -132,6 +135,11 @@
     /// The work on a replica by all counts that are held.
     [[nodiscard]] auto load_of(endpoint_id const& id) const -> replica_load;
 
+    /// Memory that other daemons would move off a replica before this one, in
+    /// tokens: daemons take turns in the order of their names.
+    [[nodiscard]] auto movable_ahead(
+        endpoint_id const& id, daemon_id const& self) const -> double;
+
     /// Mean share of the memory of a service's replicas that is in use by all
     /// counts.
     [[nodiscard]] auto mean_memory_share(
--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -38,10 +38,9 @@
 inline constexpr auto longest_wait_for_room =
     duration{std::chrono::milliseconds{5'000}};
 
-/// Latest time after the news that a replica leaves at which a run on it is
-/// stopped to go on elsewhere.
-inline constexpr auto latest_stop_after_notice =
-    duration{std::chrono::milliseconds{1'050}};
+/// Time on a leaving replica's link for a run's memory, as a multiple of what
+/// its size takes: the last part and the orders need some of it.
+inline constexpr auto move_time_margin = 1.2;
 
 /// Serves one stream. Owned by the handlers of what it waits for.
 template <message_format Format>
@@ -68,12 +67,12 @@
     stream_exchange(stream_exchange const&) = delete;
     auto operator=(stream_exchange const&) -> stream_exchange& = delete;
 
-    auto replica_leaves(time_point now) -> void override
+    auto replica_leaves(time_point now, double tokens_ahead) -> double override
     {
         if (all_.over || phase_ != move_phase::none)
         {
             target_left_ = phase_ == move_phase::continuing;
-            return;
+            return 0;
         }
         noticed_at_ = now;
         if (has_sound_backup())
@@ -83,13 +82,17 @@
             all_.state.log.request(
                 all_.request.id, "stays until its replica ends it",
                 {{"replica", target_.id}, {"copy_at", backup_->id}});
-            return;
+            return 0;
         }
         auto const traits = all_.engine();
-        if (traits && traits->moves)
+        if (!traits || !traits->moves)
         {
-            begin_move();
+            return 0;
         }
+        // One after the other: were all copied at once, the last part of each
+        // would queue behind the copies of the others.
+        again_after(move_time(*traits, tokens_ahead), [this] { begin_move(); });
+        return held_tokens();
     }
 
 private:
@@ -148,6 +151,26 @@
             {}};
     }
 
+    /// Time that memory of a size takes on a replica's link.
+    static auto move_time(engine_traits const& traits, double tokens)
+        -> duration
+    {
+        if (traits.link_mbps <= 0)
+        {
+            return duration{0};
+        }
+        auto const bits = tokens * traits.bytes_per_token * 8;
+        return std::chrono::duration_cast<duration>(
+            std::chrono::duration<double, std::micro>(
+                move_time_margin * bits / traits.link_mbps));
+    }
+
+    /// Memory that the run holds, in tokens.
+    [[nodiscard]] auto held_tokens() const -> double
+    {
+        return size_.prompt + output_tokens();
+    }
+
     [[nodiscard]] auto output_tokens() const -> double
     {
         auto const traits = all_.engine();
@@ -228,12 +251,14 @@
         target_ = target;
         watch();
         auto const memory = need().memory_tokens;
-        load_.place(target.id, memory, resumed ? 0 : size_.prompt);
-        all_.state.load_changed();
         splitter_ = {};
         head_.reset();
         source_ended_ = false;
         choose_backup(now);
+        load_.place(
+            target.id, {1, memory, resumed ? 0 : size_.prompt,
+                        backup_ ? 0 : held_tokens()});
+        all_.state.load_changed();
         auto const backup_address =
             backup_ ? std::optional{host_and_port(*backup_)} : std::nullopt;
         auto const self = this->shared_from_this();
@@ -278,7 +303,7 @@
             return;
         }
         backup_ = chosen->target;
-        backup_load_.place(backup_->id, wanted.memory_tokens, 0);
+        backup_load_.place(backup_->id, {1, wanted.memory_tokens, 0, 0});
     }
 
     /// Whether a replica that stays keeps a copy of the run.
@@ -419,7 +444,9 @@
         last_event_ = event.number;
         ++events_;
         all_.state.metrics.add(relay_counter::stream_events);
-        load_.grow(counted_memory(size_, expected_output_, output_tokens()));
+        load_.grow(
+            counted_memory(size_, expected_output_, output_tokens()),
+            held_tokens());
         all_.caller->stream(event.bytes);
         limit_backlog();
     }
@@ -443,7 +470,7 @@
         if (target_left_)
         {
             target_left_ = false;
-            replica_leaves(now);
+            replica_leaves(now, 0);
         }
     }
 
@@ -596,7 +623,8 @@
         }
         phase_ = move_phase::copying;
         destination_ = chosen->target;
-        destination_load_.place(destination_.id, need().memory_tokens, 0);
+        destination_load_.place(
+            destination_.id, {1, need().memory_tokens, 0, 0});
         all_.state.load_changed();
         order_copy(false);
     }
@@ -654,7 +682,7 @@
         switch (read.outcome)
         {
         case move_outcome::copied:
-            schedule_stop();
+            stop();
             return;
         case move_outcome::no_room:
             all_.excluded.insert(destination_.id);
@@ -701,25 +729,6 @@
             });
     }
 
-    /// Stops the run once the first copies of all streams of its replica can
-    /// have been made, so that the last, small one does not queue behind them.
-    auto schedule_stop() -> void
-    {
-        auto const now = telemetry::monotonic_now();
-        auto const traits = all_.engine();
-        auto const tokens =
-            all_.state.replicas.load_of(target_.id).memory_tokens;
-        auto const seconds = traits && traits->link_mbps > 0
-                                 ? tokens * traits->bytes_per_token * 8 /
-                                       (traits->link_mbps * 1e6)
-                                 : 0;
-        auto const copies = std::chrono::duration_cast<duration>(
-            std::chrono::duration<double>(seconds));
-        auto const at =
-            noticed_at_ + std::min(copies, latest_stop_after_notice);
-        again_after(std::max(duration{0}, at - now), [this] { stop(); });
-    }
-
     auto stop() -> void
     {
         if (!call_)
--- a/packages/relay/include/sapphirereel/relay/stream_load.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_load.hpp
@@ -35,15 +35,14 @@
     auto operator=(stream_load const&) -> stream_load& = delete;
 
     /// Counts the stream at a replica, and nowhere else from then on.
-    auto place(
-        endpoint_id const& at, double memory_tokens, double unread_tokens)
-        -> void;
+    auto place(endpoint_id const& at, replica_load const& load) -> void;
 
     /// The prompt has been read.
     auto prompt_read() -> void;
 
-    /// Sets the memory; small changes are left out.
-    auto grow(double memory_tokens) -> void;
+    /// Sets the memory that counts and the memory that is held; small changes
+    /// are left out.
+    auto grow(double memory_tokens, double held_tokens) -> void;
 
     auto release() -> void;
 
--- a/packages/relay/src/peer_report.cpp
+++ b/packages/relay/src/peer_report.cpp
@@ -46,7 +46,8 @@
         load.push_back(json::array(
             {id.str(), each.requests,
              static_cast<std::uint64_t>(each.memory_tokens),
-             static_cast<std::uint64_t>(each.unread_tokens)}));
+             static_cast<std::uint64_t>(each.unread_tokens),
+             static_cast<std::uint64_t>(each.movable_tokens)}));
     }
     auto const fields = json::array(
         {report_form, report.ip, report.incarnation, report.sequence,
@@ -92,7 +93,7 @@
         {
             report.load[endpoint_id{each.at(0).get<std::string>()}] = {
                 each.at(1).get<std::uint32_t>(), each.at(2).get<double>(),
-                each.at(3).get<double>()};
+                each.at(3).get<double>(), each.at(4).get<double>()};
         }
         report.known = fields[known_at].get<std::vector<std::string>>();
         return report;
--- a/packages/relay/src/replica_table.cpp
+++ b/packages/relay/src/replica_table.cpp
@@ -53,6 +53,7 @@
     sum.requests += load.requests;
     sum.memory_tokens += load.memory_tokens;
     sum.unread_tokens += load.unread_tokens;
+    sum.movable_tokens += load.movable_tokens;
 }
 
 /// A replica without requests leaves the report.
@@ -69,6 +70,8 @@
     sum.requests -= std::min(sum.requests, load.requests);
     sum.memory_tokens = std::max(0.0, sum.memory_tokens - load.memory_tokens);
     sum.unread_tokens = std::max(0.0, sum.unread_tokens - load.unread_tokens);
+    sum.movable_tokens =
+        std::max(0.0, sum.movable_tokens - load.movable_tokens);
     if (sum.requests == 0)
     {
         report.erase(found);
@@ -199,6 +202,21 @@
     return sum;
 }
 
+auto replica_table::movable_ahead(
+    endpoint_id const& id, daemon_id const& self) const -> double
+{
+    auto tokens = 0.0;
+    for (auto const& [peer, count] : peers_)
+    {
+        auto const found = count.report.find(id);
+        if (peer < self && found != count.report.end())
+        {
+            tokens += found->second.movable_tokens;
+        }
+    }
+    return tokens;
+}
+
 auto replica_table::mean_memory_share(
     service_name const& service, engine_traits const& engine) const -> double
 {
--- a/packages/relay/src/stream_load.cpp
+++ b/packages/relay/src/stream_load.cpp
@@ -63,12 +63,11 @@
     release();
 }
 
-auto stream_load::place(
-    endpoint_id const& at, double memory_tokens, double unread_tokens) -> void
+auto stream_load::place(endpoint_id const& at, replica_load const& load) -> void
 {
     release();
     at_ = at;
-    counted_ = {1, memory_tokens, unread_tokens};
+    counted_ = load;
     table_->add(at_, counted_);
 }
 
@@ -76,21 +75,25 @@
 {
     if (counted_.unread_tokens > 0)
     {
-        auto const memory = counted_.memory_tokens;
+        auto load = counted_;
+        load.unread_tokens = 0;
         auto const at = at_;
-        place(at, memory, 0);
+        place(at, load);
     }
 }
 
-auto stream_load::grow(double memory_tokens) -> void
+auto stream_load::grow(double memory_tokens, double held_tokens) -> void
 {
     auto const change = memory_tokens - counted_.memory_tokens;
-    if (counted_.requests > 0 && std::abs(change) >= least_change)
+    if (counted_.requests == 0 || std::abs(change) < least_change)
     {
-        auto const unread = counted_.unread_tokens;
-        auto const at = at_;
-        place(at, memory_tokens, unread);
+        return;
     }
+    auto load = counted_;
+    load.memory_tokens = memory_tokens;
+    load.movable_tokens = load.movable_tokens > 0 ? held_tokens : 0;
+    auto const at = at_;
+    place(at, load);
 }
 
 auto stream_load::release() -> void
