--- /dev/null
+++ b/test/correctness/relay/control_traffic_does_not_grow_with_daemons.cpp
@@ -0,0 +1,53 @@
+#include "sapphirereel/relay/reader_rank.hpp"
+#include "sapphirereel/relay/report_pace.hpp"
+
+#include <gtest/gtest.h>
+
+namespace sapphirereel::relay {
+namespace {
+
+constexpr auto target_daemons = std::size_t{360};
+
+auto per_second(std::size_t daemons, duration interval) -> double
+{
+    return static_cast<double>(daemons) /
+           std::chrono::duration<double>(interval).count();
+}
+
+TEST(reports, that_a_daemon_receives_stay_bounded)
+{
+    for (auto const daemons : {9U, 90U, 200U})
+    {
+        EXPECT_LE(per_second(daemons, report_interval(daemons)), 101);
+    }
+    EXPECT_LE(per_second(target_daemons, report_interval(target_daemons)), 180);
+}
+
+TEST(reports, that_are_lost_now_and_then_kill_no_daemon)
+{
+    for (auto const daemons : {2U, 9U, 90U, 360U})
+    {
+        EXPECT_GE(alive_limit(daemons), 3 * report_interval(daemons));
+        EXPECT_LE(report_delay(daemons), report_interval(daemons));
+    }
+}
+
+TEST(distant_reads, of_all_daemons_together_stay_bounded)
+{
+    for (auto const daemons : {9U, 90U})
+    {
+        EXPECT_LE(per_second(daemons, distant_read_pause(daemons)), 3.1);
+    }
+    EXPECT_LE(
+        per_second(target_daemons, distant_read_pause(target_daemons)), 12.1);
+}
+
+TEST(close_reads, wait_for_news)
+{
+    EXPECT_GT(follow_settings_of(true, 9).wait, duration{0});
+    EXPECT_EQ(follow_settings_of(false, 9).wait, duration{0});
+    EXPECT_EQ(follow_settings_of(false, 9).pause, distant_read_pause(9));
+}
+
+} // namespace
+} // namespace sapphirereel::relay
--- /dev/null
+++ b/test/correctness/relay/streams_count_for_what_they_will_need.cpp
@@ -0,0 +1,58 @@
+#include "sapphirereel/relay/stream_load.hpp"
+
+#include <gtest/gtest.h>
+
+namespace sapphirereel::relay {
+namespace {
+
+auto const asked = generation_size{3'000, 2'000, std::nullopt};
+auto const at = endpoint_id{"r"};
+
+TEST(memory_of_a_stream, counts_a_part_of_what_may_still_come)
+{
+    auto const fresh = counted_memory(asked, 900, 0);
+    EXPECT_GT(fresh, 3'000);
+    EXPECT_LT(fresh, 3'900);
+    // Past its expectation it counts for what it holds.
+    EXPECT_EQ(counted_memory(asked, 900, 1'200), 4'200);
+}
+
+TEST(expected_output, follows_the_hint_in_part_and_never_passes_the_limit)
+{
+    auto lengths = length_estimator::create({}).value();
+    auto const curve = lengths.curve({service_name{"s"}, customer_id{}});
+    auto hinted = asked;
+    hinted.hinted_output = 10;
+    EXPECT_LT(expected_output(curve, hinted), expected_output(curve, asked));
+    auto small = asked;
+    small.most_output = 5;
+    EXPECT_LE(expected_output(curve, small), 5);
+}
+
+TEST(room_for_a_stream, is_found_in_the_end_also_for_the_largest)
+{
+    using std::chrono::seconds;
+    EXPECT_EQ(most_memory_share(duration{0}), 1);
+    EXPECT_GT(most_memory_share(seconds{5}), 1.3);
+}
+
+TEST(count_of_a_stream, is_at_one_replica_and_gone_in_the_end)
+{
+    auto table = replica_table{zone_name{"z"}, 1};
+    {
+        auto load = stream_load{table};
+        load.place(at, {1, 3'400, 3'000, 3'000});
+        load.prompt_read();
+        EXPECT_EQ(table.load_of(at), (replica_load{1, 3'400, 0, 3'000}));
+        load.grow(3'410, 3'200);
+        EXPECT_EQ(table.load_of(at).memory_tokens, 3'400);
+        load.grow(3'600, 3'300);
+        EXPECT_EQ(table.load_of(at), (replica_load{1, 3'600, 0, 3'300}));
+        load.place(endpoint_id{"other"}, {1, 3'600, 0, 0});
+        EXPECT_EQ(table.load_of(at), replica_load{});
+    }
+    EXPECT_TRUE(table.own_load().empty());
+}
+
+} // namespace
+} // namespace sapphirereel::relay
--- /dev/null
+++ b/test/correctness/relay/the_log_of_events_is_bounded.cpp
@@ -0,0 +1,56 @@
+#include "sapphirereel/relay/event_log.hpp"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace sapphirereel::relay {
+namespace {
+
+TEST(event_log, writes_json_lines_with_the_request)
+{
+    auto lines = std::vector<std::string>{};
+    auto log = event_log{[&](std::string_view line) {
+        lines.emplace_back(line);
+        return true;
+    }};
+    log.request("r1", "sent", {{"replica", "a"}});
+    ASSERT_EQ(lines.size(), 1U);
+    auto const read = nlohmann::json::parse(lines[0]);
+    EXPECT_EQ(read["request"], "r1");
+    EXPECT_EQ(read["message"], "sent");
+    EXPECT_EQ(read["replica"], "a");
+}
+
+TEST(event_log, keeps_to_its_budget_and_counts_what_it_leaves_out)
+{
+    auto bytes = std::size_t{0};
+    auto log = event_log{[&](std::string_view line) {
+        bytes += line.size();
+        return true;
+    }};
+    for (auto at = 0; at < 20'000; ++at)
+    {
+        log.info("m", "a line of some length that repeats");
+    }
+    EXPECT_GT(log.dropped(), 0U);
+    EXPECT_LT(bytes, 600'000U);
+}
+
+TEST(event_log, says_how_many_lines_could_not_be_written)
+{
+    auto is_full = true;
+    auto last = std::string{};
+    auto log = event_log{[&](std::string_view line) {
+        last = std::string{line};
+        return !is_full;
+    }};
+    log.info("m", "one");
+    log.info("m", "two");
+    is_full = false;
+    log.info("m", "three");
+    EXPECT_EQ(log.dropped(), 2U);
+    EXPECT_EQ(nlohmann::json::parse(last)["suppressed"], 2);
+}
+
+} // namespace
+} // namespace sapphirereel::relay
