--- a/packages/relay/src/replica_table.cpp
+++ b/packages/relay/src/replica_table.cpp
@@ -45,11 +45,8 @@
 /// Span of the random part that parts equal scores.
 constexpr auto tie_span = 0.01;
 
-auto add_to(
-    load_report& report, endpoint_id const& id, replica_load const& load)
-    -> void
+auto add_load(replica_load& sum, replica_load const& load) -> void
 {
-    auto& sum = report[id];
     sum.requests += load.requests;
     sum.memory_tokens += load.memory_tokens;
     sum.unread_tokens += load.unread_tokens;
@@ -122,7 +119,7 @@
 
 auto replica_table::add(endpoint_id const& id, replica_load const& load) -> void
 {
-    add_to(own_, id, load);
+    add_load(own_[id], load);
 }
 
 auto replica_table::remove(endpoint_id const& id, replica_load const& load)
@@ -158,7 +155,7 @@
     forget_peer_load(count);
     for (auto const& [id, load] : report)
     {
-        add_to(of_peers_, id, load);
+        add_load(of_peers_[id], load);
     }
     count = {std::move(report), now};
     expire_peers(now);
@@ -194,9 +191,7 @@
         auto const found = report->find(id);
         if (found != report->end())
         {
-            sum.requests += found->second.requests;
-            sum.memory_tokens += found->second.memory_tokens;
-            sum.unread_tokens += found->second.unread_tokens;
+            add_load(sum, found->second);
         }
     }
     return sum;
