--- a/packages/relay/src/replica_table.cpp
+++ b/packages/relay/src/replica_table.cpp
@@ -35,6 +35,10 @@
 /// Weight of a memory that is full by all counts, which would preempt.
 constexpr auto overflow_weight = 20.0;
 
+/// Weight of prompts that wait to be read: unlike memory in use they delay the
+/// next first event at once.
+constexpr auto unread_weight = 3.0;
+
 /// Share of the memory from which a replica counts as full; the counts lag.
 constexpr auto full_share = 0.94;
 
@@ -281,7 +285,7 @@
     auto const slots = std::max(1U, candidate.slots);
     auto const places = (static_cast<double>(load.requests) + 1) / slots;
     auto const crowded = std::max(0.0, places - 1);
-    return share + unread + overflow_weight * (overflow + crowded) +
+    return share + unread_weight * unread + overflow_weight * (overflow + crowded) +
            penalty(candidate, need.memory_zone, now);
 }
 
--- a/packages/relay/src/report_pace.cpp
+++ b/packages/relay/src/report_pace.cpp
@@ -12,8 +12,8 @@
 constexpr auto least_interval = duration{milliseconds{250}};
 constexpr auto most_interval = duration{milliseconds{2'000}};
 
-constexpr auto delay_per_daemon = duration{milliseconds{1}};
-constexpr auto least_delay = duration{milliseconds{15}};
+constexpr auto delay_per_daemon = duration{std::chrono::microseconds{150}};
+constexpr auto least_delay = duration{milliseconds{10}};
 constexpr auto most_delay = duration{milliseconds{100}};
 
 /// Reports that may be lost in a row before a daemon counts as dead.
