--- /dev/null
+++ b/packages/relay/include/sapphirereel/relay/knowledge.hpp
@@ -0,0 +1,363 @@
+/// \file
+/// Defines what a daemon knows from the platform's log and from its peers: the
+/// configuration in force and the replicas, and how it keeps both up to date.
+#ifndef SAPPHIREREEL_RELAY_KNOWLEDGE_HPP
+#define SAPPHIREREEL_RELAY_KNOWLEDGE_HPP
+
+#include "sapphirereel/relay/exchange.hpp"
+#include "sapphirereel/relay/leaving_news.hpp"
+#include "sapphirereel/relay/log_follower.hpp"
+#include "sapphirereel/relay/reader_rank.hpp"
+#include "sapphirereel/relay/record_exchange.hpp"
+#include "sapphirereel/relay/relay_settings.hpp"
+#include "sapphirereel/relay/relay_state.hpp"
+#include "sapphirereel/relay/whole_call.hpp"
+
+#include <functional>
+#include <set>
+#include <vector>
+
+namespace sapphirereel::relay {
+
+/// Time from the start in which a daemon hears of its peers, and how it follows
+/// the log until then: were all to wait for news, each start would cost a read
+/// a daemon and record.
+inline constexpr auto hearing_time = duration{std::chrono::milliseconds{2'000}};
+inline constexpr auto follow_settings_at_start =
+    follow_settings{duration{0}, duration{std::chrono::milliseconds{1'500}}};
+
+/// Time for fetching a copy from a peer, and between two fetches.
+inline constexpr auto copy_limit = duration{std::chrono::milliseconds{800}};
+inline constexpr auto copy_interval = duration{std::chrono::milliseconds{50}};
+
+/// Time for which a replica that vanished without leaving stays in the list
+/// after the log has come back: entries that lapsed meanwhile come again.
+inline constexpr auto lapse_grace = duration{std::chrono::milliseconds{2'200}};
+
+/// Keeps the shared state's configuration and replicas. `Reader` turns records
+/// of the log into both. Must outlive the loop's run.
+template <keyed_log Log, class Reader>
+class knowledge
+{
+public:
+    /// `news` is told when peers should hear of something at once.
+    knowledge(
+        relay_state& state,
+        relay_settings const& settings,
+        Log& log,
+        std::uint64_t seed,
+        std::function<void()> news)
+        : state_(state)
+        , own_(settings.peers)
+        , news_(std::move(news))
+        , configuration_(
+              state.loop,
+              log,
+              keyed_stream::configuration,
+              follow_settings_at_start,
+              seed,
+              [this] { configuration_changed(); },
+              [this](bool is_lost) {
+                  log_touch(keyed_stream::configuration, is_lost);
+              })
+        , replicas_(
+              state.loop,
+              log,
+              keyed_stream::replicas,
+              follow_settings_at_start,
+              seed + 1,
+              [this] { replicas_changed(); },
+              [this](bool is_lost) {
+                  log_touch(keyed_stream::replicas, is_lost);
+              })
+    {}
+
+    auto start(time_point now) -> void
+    {
+        started_at_ = now;
+        configuration_.start();
+        replicas_.start();
+    }
+
+    /// Whether the platform's log answers.
+    [[nodiscard]] auto is_in_touch() const -> bool
+    {
+        return configuration_.is_in_touch() && replicas_.is_in_touch();
+    }
+
+    /// Whether the log of the replicas has not answered for several calls.
+    [[nodiscard]] auto has_lost_log() const -> bool
+    {
+        return replicas_.is_lost();
+    }
+
+    /// Puts what this daemon knows into its report.
+    auto describe(peer_report& report, time_point now) const -> void
+    {
+        report.is_in_touch = is_in_touch() && !state_.stopping;
+        report.configuration_next = configuration_.cache().next();
+        report.replicas_next = replicas_.cache().next();
+        report.leaving = leaving_.to_tell(now);
+    }
+
+    /// Takes in what a peer knows.
+    auto heard(peer_report const& report, time_point now) -> void
+    {
+        learn_leaving(report, now);
+        fetch_if_behind(report, now);
+    }
+
+    /// The bytes of this daemon's copy of a stream, for a peer.
+    [[nodiscard]] auto copy_of(keyed_stream stream) -> std::string
+    {
+        return write_copy(follower_of(stream).cache());
+    }
+
+    /// Looks at what is due with time.
+    auto tick(time_point now) -> void
+    {
+        if (recheck_lapsed_at_ != time_point{} && now >= recheck_lapsed_at_)
+        {
+            recheck_lapsed_at_ = {};
+            replicas_changed();
+        }
+        leaving_.expire(now);
+    }
+
+    /// Reads the log closely, or leaves that to others.
+    auto share_reading(std::vector<peer_report> const& alive, time_point now)
+        -> void
+    {
+        if (now - started_at_ < hearing_time)
+        {
+            return;
+        }
+        auto const closely = reads_closely(own_.ip, alive);
+        auto const settings = follow_settings_of(closely, state_.daemons);
+        configuration_.follow(settings);
+        replicas_.follow(settings);
+        if (std::exchange(reads_closely_, closely) != closely)
+        {
+            state_.log.info(
+                "log",
+                closely ? "reads closely" : "leaves close reading to others",
+                {{"daemons", state_.daemons}});
+        }
+    }
+
+private:
+    auto log_touch(keyed_stream stream, bool is_lost) -> void
+    {
+        state_.log.warning(
+            "log", is_lost ? "lost" : "regained",
+            {{"stream", std::string{name_of(stream)}},
+             {"next", follower_of(stream).cache().next()}});
+    }
+
+    auto configuration_changed() -> void
+    {
+        auto const version_before =
+            state_.table ? state_.table->configuration().version : 0;
+        for (auto const& record : configuration_.cache().newest())
+        {
+            auto read = Reader::read_configuration(record);
+            if (!read)
+            {
+                state_.log.warning(
+                    "configuration", "a record is no configuration",
+                    {{"key", record.key},
+                     {"offset", record.offset},
+                     {"why", read.error()}});
+                continue;
+            }
+            if (!*read || (state_.table && (**read).version <= version_before))
+            {
+                continue;
+            }
+            state_.table =
+                std::make_shared<routing_table const>(std::move(**read));
+            state_.log.info(
+                "configuration", "in force",
+                {{"version", state_.table->configuration().version},
+                 {"before", version_before},
+                 {"offset", record.offset},
+                 {"routes", state_.table->configuration().routes.size()}});
+            news_();
+        }
+    }
+
+    auto replicas_changed() -> void
+    {
+        auto const now = telemetry::monotonic_now();
+        auto listed = std::vector<replica>{};
+        for (auto const& record : replicas_.cache().newest())
+        {
+            auto read = Reader::read_replica(record);
+            if (!read)
+            {
+                state_.log.warning(
+                    "replicas", "an entry names no replica to use",
+                    {{"key", record.key},
+                     {"offset", record.offset},
+                     {"why", read.error()}});
+                continue;
+            }
+            if (leaving_.covers(read->id, record.offset))
+            {
+                read->leaving = true;
+            }
+            listed.push_back(std::move(*read));
+        }
+        keep_lapsed(listed, now);
+        auto const leaving = state_.replicas.set_replicas(listed);
+        for (auto const& each : leaving)
+        {
+            replica_leaves(each, now);
+        }
+    }
+
+    /// Keeps replicas that vanished without leaving while the log was away or
+    /// has just come back, unless a peer that has followed the log all the
+    /// while tells that they are gone.
+    auto keep_lapsed(std::vector<replica>& listed, time_point now) -> void
+    {
+        auto const is_recovering =
+            replicas_.is_lost() ||
+            (replicas_.regained_at() != time_point{} &&
+             now - replicas_.regained_at() < lapse_grace);
+        if (!is_recovering)
+        {
+            return;
+        }
+        auto present = std::set<endpoint_id>{};
+        for (auto const& each : listed)
+        {
+            present.insert(each.id);
+        }
+        for (auto const& [id, each] : state_.replicas.replicas())
+        {
+            auto const is_known_gone = leaving_.covers(
+                id, replicas_.cache().offset_of(id.str()).value_or(0));
+            if (!present.contains(id) && !each.leaving && !is_known_gone)
+            {
+                listed.push_back(each);
+                recheck_lapsed_at_ = now + lapse_grace;
+            }
+        }
+    }
+
+    auto replica_leaves(replica const& which, time_point now) -> void
+    {
+        auto const found = state_.streams.find(which.id);
+        auto const streams =
+            found == state_.streams.end()
+                ? std::vector<leaving_listener*>{}
+                : std::vector<leaving_listener*>{
+                      found->second.begin(), found->second.end()};
+        auto const offset = replicas_.cache().offset_of(which.id.str());
+        state_.log.info(
+            "replicas", "a replica leaves",
+            {{"replica", which.id},
+             {"service", which.service},
+             {"streams", streams.size()},
+             {"offset", offset.value_or(0)}});
+        if (offset)
+        {
+            leaving_.note({which.id, *offset}, now);
+            news_();
+        }
+        auto ahead = state_.replicas.movable_ahead(which.id, state_.self);
+        for (auto* const each : streams)
+        {
+            ahead += each->replica_leaves(now, ahead);
+        }
+        if (auto const to = address_of(which))
+        {
+            state_.pool.forget(*to);
+        }
+    }
+
+    auto learn_leaving(peer_report const& report, time_point now) -> void
+    {
+        auto news = false;
+        for (auto const& each : report.leaving)
+        {
+            news = leaving_.note(each, now) || news;
+        }
+        if (news)
+        {
+            replicas_changed();
+        }
+    }
+
+    /// Fetches a peer's copies where they are newer.
+    auto fetch_if_behind(peer_report const& report, time_point now) -> void
+    {
+        if (now < next_fetch_at_)
+        {
+            return;
+        }
+        auto const misses_configuration =
+            report.configuration_next > configuration_.cache().next();
+        auto const misses_replicas =
+            report.replicas_next > replicas_.cache().next();
+        if (misses_configuration)
+        {
+            fetch(report, keyed_stream::configuration);
+        }
+        if (misses_replicas)
+        {
+            fetch(report, keyed_stream::replicas);
+        }
+        if (misses_configuration || misses_replicas)
+        {
+            next_fetch_at_ = now + copy_interval;
+        }
+    }
+
+    auto fetch(peer_report const& from, keyed_stream stream) -> void
+    {
+        state_.metrics.add(relay_counter::peer_fetches);
+        auto const to = listen_address{from.ip, own_.port}.endpoint();
+        whole_call::start(
+            state_.loop, state_.pool, to,
+            http::write_request(
+                "GET", copy_path(stream), {{"Host", from.ip}}, {}),
+            copy_limit,
+            [this, stream, ip = from.ip](whole_answer const& answer) {
+                auto const page = answer && answer->head.status == 200
+                                      ? read_copy(answer->body)
+                                      : std::nullopt;
+                state_.log.info(
+                    "peers", page ? "took a copy" : "got no copy",
+                    {{"stream", std::string{name_of(stream)}},
+                     {"peer", ip},
+                     {"next", page ? page->next : 0}});
+                if (page)
+                {
+                    follower_of(stream).take_copy(page->records, page->next);
+                }
+            });
+    }
+
+    auto follower_of(keyed_stream stream) -> log_follower<Log>&
+    {
+        return stream == keyed_stream::configuration ? configuration_
+                                                     : replicas_;
+    }
+
+    relay_state& state_;
+    listen_address own_;
+    std::function<void()> news_;
+    log_follower<Log> configuration_;
+    log_follower<Log> replicas_;
+    leaving_news leaving_;
+    time_point started_at_{};
+    time_point next_fetch_at_{};
+    time_point recheck_lapsed_at_{};
+    bool reads_closely_ = false;
+};
+
+} // namespace sapphirereel::relay
+
+#endif
--- a/packages/relay/src/replica_table.cpp
+++ b/packages/relay/src/replica_table.cpp
@@ -285,7 +285,8 @@
     auto const slots = std::max(1U, candidate.slots);
     auto const places = (static_cast<double>(load.requests) + 1) / slots;
     auto const crowded = std::max(0.0, places - 1);
-    return share + unread_weight * unread + overflow_weight * (overflow + crowded) +
+    return share + unread_weight * unread +
+           overflow_weight * (overflow + crowded) +
            penalty(candidate, need.memory_zone, now);
 }
 
