--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -6,25 +6,14 @@
 
 #include "sapphirereel/relay/event_splitter.hpp"
 #include "sapphirereel/relay/exchange.hpp"
+#include "sapphirereel/relay/run_mover.hpp"
 #include "sapphirereel/relay/stream_load.hpp"
-#include "sapphirereel/relay/whole_call.hpp"
 
 namespace sapphirereel::relay {
 
 /// Bytes that wait for a slow caller before its replica is no longer read.
 inline constexpr auto most_unsent_bytes = std::size_t{262'144};
 
-/// Longest time for one order to copy a run's memory.
-inline constexpr auto move_call_limit = duration{std::chrono::seconds{3}};
-
-/// Time until an order to copy is repeated where the replica does not know the
-/// run yet or is still copying.
-inline constexpr auto move_retry_delay =
-    duration{std::chrono::milliseconds{60}};
-
-/// Most orders to copy for one run.
-inline constexpr auto most_move_orders = 24;
-
 /// Output, in tokens, from which on a run's memory is copied to another replica
 /// as it grows, and the share of that replica's memory up to which it is.
 inline constexpr auto least_output_for_backup = 100.0;
@@ -38,10 +27,6 @@
 inline constexpr auto longest_wait_for_room =
     duration{std::chrono::milliseconds{5'000}};
 
-/// Time on a leaving replica's link for a run's memory, as a multiple of what
-/// its size takes: the last part and the orders need some of it.
-inline constexpr auto move_time_margin = 1.2;
-
 /// Serves one stream. Owned by the handlers of what it waits for.
 template <message_format Format>
 class stream_exchange final
@@ -69,12 +54,11 @@
 
     auto replica_leaves(time_point now, double tokens_ahead) -> double override
     {
-        if (all_.over || phase_ != move_phase::none)
+        if (all_.over || is_continuing_ || mover_.is_active() || stopped_)
         {
-            target_left_ = phase_ == move_phase::continuing;
+            target_left_ = is_continuing_;
             return 0;
         }
-        noticed_at_ = now;
         if (has_sound_backup())
         {
             // The run goes on from its copy when the replica ends it. That
@@ -91,23 +75,13 @@
         }
         // One after the other: were all copied at once, the last part of each
         // would queue behind the copies of the others.
-        again_after(move_time(*traits, tokens_ahead), [this] { begin_move(); });
+        mover_.start(
+            this->weak_from_this(), target_, now,
+            move_time(*traits, tokens_ahead));
         return held_tokens();
     }
 
 private:
-    /// How far a move of the run has come.
-    enum class move_phase
-    {
-        none,
-        /// The memory is being copied while the run goes on.
-        copying,
-        /// The run is being stopped, and what is new is copied.
-        stopping,
-        /// The run goes on at another replica.
-        continuing
-    };
-
     stream_exchange(
         relay_state& state,
         std::shared_ptr<caller_session> caller,
@@ -115,7 +89,8 @@
         grant granted)
         : all_(state, std::move(caller), std::move(request), std::move(granted))
         , load_(state.replicas)
-        , move_timer_(state.loop)
+        , mover_(state, all_.request.id, mover_callbacks())
+        , room_timer_(state.loop)
         , size_(all_.request.generation.value_or(generation_size{}))
         , expected_output_(
               relay::expected_output(state.output_lengths.curve(kind()), size_))
@@ -151,20 +126,6 @@
             {}};
     }
 
-    /// Time that memory of a size takes on a replica's link.
-    static auto move_time(engine_traits const& traits, double tokens)
-        -> duration
-    {
-        if (traits.link_mbps <= 0)
-        {
-            return duration{0};
-        }
-        auto const bits = tokens * traits.bytes_per_token * 8;
-        return std::chrono::duration_cast<duration>(
-            std::chrono::duration<double, std::micro>(
-                move_time_margin * bits / traits.link_mbps));
-    }
-
     /// Memory that the run holds, in tokens.
     [[nodiscard]] auto held_tokens() const -> double
     {
@@ -219,7 +180,14 @@
             give_up(refusal_reason::overload, 502, "no replica has room");
             return;
         }
-        again_after(room_interval, [this] { attempt(); });
+        room_timer_.expires_after(room_interval);
+        room_timer_.async_wait(
+            [self = this->shared_from_this()](std::error_code error) {
+                if (!error && !self->all_.over)
+                {
+                    self->attempt();
+                }
+            });
     }
 
     auto log_sent(placement const& chosen, time_point now) -> void
@@ -314,11 +282,6 @@
         return held != nullptr && !held->leaving;
     }
 
-    static auto host_and_port(replica const& at) -> std::string
-    {
-        return fmt::format("{}:{}", at.ip, at.port);
-    }
-
     /// Goes on from the copy of a run whose replica is lost.
     auto continue_from_backup(time_point now) -> bool
     {
@@ -337,15 +300,9 @@
              {"events", events_},
              {"silent", now - last_event_at_}});
         all_.excluded.insert(target_.id);
-        move_timer_.cancel();
-        if (order_)
-        {
-            order_->cancel();
-            order_.reset();
-        }
-        destination_load_.release();
-        handle_.clear();
-        phase_ = move_phase::continuing;
+        mover_.cancel();
+        stopped_.reset();
+        is_continuing_ = true;
         send(
             next, *to,
             continuation{
@@ -454,11 +411,10 @@
     /// Notes the pause that a move made, at the first event after it.
     auto note_resumed(time_point now) -> void
     {
-        if (phase_ != move_phase::continuing)
+        if (!std::exchange(is_continuing_, false))
         {
             return;
         }
-        phase_ = move_phase::none;
         all_.state.metrics.add(relay_counter::streams_moved);
         all_.state.metrics.observe(
             relay_timing::move_pause, now - last_event_at_);
@@ -546,7 +502,7 @@
 
     auto retry_not_run(time_point now) -> void
     {
-        if (phase_ == move_phase::continuing)
+        if (is_continuing_)
         {
             continue_failed();
             return;
@@ -569,7 +525,7 @@
             return;
         }
         auto const now = telemetry::monotonic_now();
-        if (phase_ == move_phase::stopping)
+        if (mover_.is_stopping() || stopped_)
         {
             source_ended_ = true;
             check_stopped();
@@ -585,7 +541,7 @@
         if (why.stage == call_stage::connecting)
         {
             all_.state.metrics.add(relay_counter::connections_failed);
-            if (phase_ == move_phase::continuing)
+            if (is_continuing_)
             {
                 continue_failed();
                 return;
@@ -602,158 +558,39 @@
 
     // Moving to another replica.
 
-    auto begin_move() -> void
+    auto mover_callbacks() -> typename run_mover<Format>::callbacks
+    {
+        return {
+            [this] { return choose_destination(); },
+            [this](stopped_run const& run) {
+                stopped_ = run;
+                check_stopped();
+            },
+            [this](bool was_stopping) { not_moved(was_stopping); },
+            [this](replica const& which) {
+                all_.excluded.insert(which.id);
+            }};
+    }
+
+    auto choose_destination() -> std::optional<move_destination>
     {
-        auto const now = telemetry::monotonic_now();
-        if (all_.over || move_orders_ >= most_move_orders)
-        {
-            return;
-        }
         all_.excluded.insert(target_.id);
         auto wanted = need();
         wanted.memory_zone = target_.zone;
-        auto const chosen =
-            all_.state.replicas.choose(wanted, all_.engine(), now);
+        auto const chosen = all_.state.replicas.choose(
+            wanted, all_.engine(), telemetry::monotonic_now());
         if (!chosen || !address_of(chosen->target))
         {
-            all_.state.log.request(
-                all_.request.id, "not moved: no replica takes it",
-                {{"replica", target_.id}});
-            return;
+            return std::nullopt;
         }
-        phase_ = move_phase::copying;
-        destination_ = chosen->target;
-        destination_load_.place(
-            destination_.id, {1, need().memory_tokens, 0, 0});
-        all_.state.load_changed();
-        order_copy(false);
-    }
-
-    auto order_copy(bool stop) -> void
-    {
-        ++move_orders_;
-        auto const to = address_of(target_);
-        auto const self = this->shared_from_this();
-        all_.state.log.request(
-            all_.request.id, stop ? "stopped to move" : "copied to move",
-            {{"replica", target_.id},
-             {"to", destination_.id},
-             {"events", events_},
-             {"noticed", telemetry::monotonic_now() - noticed_at_}});
-        order_ = whole_call::start(
-            all_.state.loop, all_.state.pool, *to,
-            Format::write_move(
-                {all_.request.id, host_and_port(destination_), stop}),
-            move_call_limit, [self, stop](whole_answer answer) {
-                self->order_answered(stop, answer);
-            });
+        return move_destination{chosen->target, wanted.memory_tokens};
     }
 
-    auto order_answered(bool stop, whole_answer const& answer) -> void
+    auto not_moved(bool was_stopping) -> void
     {
-        order_.reset();
-        if (all_.over)
-        {
-            return;
-        }
-        auto const read = answer ? Format::read_move(*answer) : move_answer{};
-        if (read.outcome != move_outcome::copied)
-        {
-            all_.state.log.request(
-                all_.request.id, "copy not made",
-                {{"replica", target_.id},
-                 {"to", destination_.id},
-                 {"outcome", static_cast<int>(read.outcome)},
-                 {"stop", stop},
-                 {"why", answer ? std::string{} : answer.error().detail}});
-        }
-        if (stop)
-        {
-            stop_answered(read);
-        }
-        else
-        {
-            copy_answered(read);
-        }
-    }
-
-    auto copy_answered(move_answer const& read) -> void
-    {
-        switch (read.outcome)
-        {
-        case move_outcome::copied:
-            stop();
-            return;
-        case move_outcome::no_room:
-            all_.excluded.insert(destination_.id);
-            cancel_move();
-            again_after(move_retry_delay, [this] { begin_move(); });
-            return;
-        case move_outcome::unknown_run:
-        case move_outcome::in_progress:
-            again_after(move_retry_delay, [this] { retry_copy(); });
-            return;
-        case move_outcome::failed:
-            cancel_move();
-            return;
-        }
-    }
-
-    auto retry_copy() -> void
-    {
-        if (move_orders_ >= most_move_orders)
-        {
-            cancel_move();
-            return;
-        }
-        order_copy(false);
-    }
-
-    auto cancel_move() -> void
-    {
-        phase_ = move_phase::none;
-        destination_load_.release();
-        all_.state.metrics.add(relay_counter::stream_moves_failed);
-    }
-
-    template <class Action>
-    auto again_after(duration delay, Action action) -> void
-    {
-        move_timer_.expires_after(delay);
-        move_timer_.async_wait(
-            [self = this->shared_from_this(), action](std::error_code error) {
-                if (!error && !self->all_.over)
-                {
-                    action();
-                }
-            });
-    }
-
-    auto stop() -> void
-    {
-        if (!call_)
-        {
-            cancel_move();
-            return;
-        }
-        phase_ = move_phase::stopping;
-        order_copy(true);
-    }
-
-    auto stop_answered(move_answer const& read) -> void
-    {
-        auto const is_stopped = !read.handle.empty();
-        if (is_stopped)
-        {
-            handle_ = read.handle;
-            stopped_at_events_ = read.events_made;
-            resumes_at_source_ = read.outcome != move_outcome::copied;
-            check_stopped();
-            return;
-        }
-        // The run may have ended by itself; its own stream tells.
-        cancel_move();
-        if (source_ended_ && !continue_from_backup(telemetry::monotonic_now()))
+        auto const is_lost = was_stopping && source_ended_ &&
+                             !continue_from_backup(telemetry::monotonic_now());
+        if (is_lost)
         {
             lose("the run was not stopped in good order");
         }
@@ -762,30 +599,27 @@
     /// Goes on elsewhere once the run has stopped and its events are here.
     auto check_stopped() -> void
     {
-        if (phase_ != move_phase::stopping || handle_.empty())
+        if (!stopped_)
         {
             return;
         }
-        auto const has_all = last_event_ && *last_event_ >= stopped_at_events_;
+        auto const has_all =
+            last_event_ && *last_event_ >= stopped_->events_made;
         if (!source_ended_ && !has_all)
         {
             return;
         }
-        if (call_)
+        if (auto const ended = std::exchange(call_, nullptr))
         {
-            call_->cancel();
-            call_.reset();
+            ended->cancel();
         }
-        phase_ = move_phase::continuing;
-        auto const source = target_;
-        auto resumed = continuation{
-            fmt::format("{}/{}", host_and_port(source), handle_),
-            last_event_.value_or(0)};
-        handle_.clear();
-        destination_load_.release();
-        auto const& next = resumes_at_source_ ? source : destination_;
-        auto const to = address_of(next);
-        send(replica{next}, *to, std::move(resumed));
+        auto const run = *std::exchange(stopped_, std::nullopt);
+        is_continuing_ = true;
+        send(
+            run.next, *address_of(run.next),
+            continuation{
+                fmt::format("{}/{}", host_and_port(target_), run.handle),
+                last_event_.value_or(0)});
     }
 
     /// The destination did not take the run. It has no other copy.
@@ -800,16 +634,12 @@
     {
         all_.over = true;
         all_.deadline_timer.cancel();
-        move_timer_.cancel();
+        room_timer_.cancel();
+        mover_.cancel();
         unwatch();
         load_.release();
-        destination_load_.release();
         backup_load_.release();
         all_.state.load_changed();
-        if (order_)
-        {
-            order_->cancel();
-        }
         if (call_)
         {
             call_->cancel();
@@ -858,7 +688,7 @@
             all_.request.id, "stream lost",
             {{"replica", target_.id},
              {"why", std::string{why}},
-             {"phase", static_cast<int>(phase_)},
+             {"continuing", is_continuing_},
              {"events", events_},
              {"after", now - all_.began}});
         all_.caller->abort();
@@ -913,35 +743,31 @@
 
     exchange all_;
     stream_load load_;
-    stream_load destination_load_{all_.state.replicas};
     stream_load backup_load_{all_.state.replicas};
-    asio::steady_timer move_timer_;
+    run_mover<Format> mover_;
+    asio::steady_timer room_timer_;
     generation_size size_;
     double expected_output_;
     std::shared_ptr<upstream_call> call_;
-    std::shared_ptr<whole_call> order_;
     replica target_;
-    replica destination_;
     std::optional<replica> backup_;
     std::optional<http::response_head> head_;
     event_splitter splitter_;
     std::string failure_body_;
     std::optional<std::uint64_t> last_event_;
     time_point last_event_at_{};
-    time_point noticed_at_{};
     duration first_event_after_{0};
     duration longest_pause_{0};
     std::uint64_t events_ = 0;
-    std::uint64_t stopped_at_events_ = 0;
-    std::string handle_;
-    int move_orders_ = 0;
-    move_phase phase_ = move_phase::none;
+    /// Set while a stopped run waits for its last events.
+    std::optional<stopped_run> stopped_;
+    /// Whether the run was sent elsewhere and has made no event there yet.
+    bool is_continuing_ = false;
     bool is_success_ = false;
     bool is_signed_ = false;
     bool not_run_ = false;
     bool begun_ = false;
     bool source_ended_ = false;
-    bool resumes_at_source_ = false;
     bool target_left_ = false;
     bool is_complete_ = false;
 };
--- /dev/null
+++ b/test/correctness/relay/runs_are_moved_off_leaving_replicas.cpp
@@ -0,0 +1,141 @@
+#include "support/relay/relay_world.hpp"
+
+#include <gtest/gtest.h>
+
+namespace sapphirereel::relay::test {
+namespace {
+
+auto event(int number) -> std::string
+{
+    return fmt::format("id: {}\ndata: e{}\n\n", number, number);
+}
+
+/// Two replicas of an engine. Whichever gets the request makes three events
+/// and waits until it is ordered to stop; the other goes on from its memory.
+struct moving_pair
+{
+    moving_pair()
+        : one(world.loop, serve())
+        , two(world.loop, serve())
+    {
+        world.configure(1);
+        world.add("one", "engine", one);
+        world.add("two", "engine", two);
+    }
+
+    auto serve() -> fake_replica::handler
+    {
+        return [this](
+                   std::shared_ptr<caller_session> const& from,
+                   http::request const& request) {
+            if (request.target == "/-/kv-move")
+            {
+                order(*from, request.body);
+                return;
+            }
+            from->begin_stream(200, "OK", signed_fields(request));
+            if (auto const memory = http::find(request.fields, "Kv-From"))
+            {
+                memory_asked = std::string{*memory};
+                from->stream(event(4) + event(5));
+                from->finish_stream();
+                return;
+            }
+            from->stream(event(1) + event(2) + event(3));
+            running = from;
+        };
+    }
+
+    auto order(caller_session& from, std::string const& body) -> void
+    {
+        auto const stops = body.find("\"last\":true") != std::string::npos;
+        orders.push_back(stops ? "stop" : "copy");
+        if (!stops && copies_refused > 0)
+        {
+            --copies_refused;
+            from.respond(404, {}, {});
+            return;
+        }
+        if (stops && running)
+        {
+            running->close_broken();
+        }
+        from.respond(
+            200, {{"Content-Type", "application/json"}},
+            R"({"handle":"h1","create-rev":3})");
+    }
+
+    /// Lets the replica that runs the request leave.
+    auto leave() -> std::string
+    {
+        auto const is_one = !one.requests.empty();
+        world.add(
+            is_one ? "one" : "two", "engine", is_one ? one : two, "draining");
+        return fmt::format("127.0.0.1:{}", is_one ? one.port : two.port);
+    }
+
+    relay_world world;
+    fake_replica one;
+    fake_replica two;
+    std::shared_ptr<caller_session> running;
+    std::vector<std::string> orders;
+    std::string memory_asked;
+    int copies_refused = 0;
+};
+
+auto ask_and_leave(moving_pair& with) -> std::pair<std::string, std::string>
+{
+    auto pool = upstream_pool{with.world.loop};
+    auto got = std::optional<whole_answer>{};
+    whole_call::start(
+        with.world.loop, pool, with.world.caller_address(),
+        http::write_request(
+            "GET", "/stream/a",
+            {{"Host", "h"},
+             {"X-Sapphirereel-Request-Id", "r1"},
+             {"X-Sapphirereel-Token-Count", "10,20"}},
+            {}),
+        std::chrono::seconds{6},
+        [&got](whole_answer answer) { got = std::move(answer); });
+    with.world.run_until([&] { return with.running != nullptr; });
+    auto const source = with.leave();
+    with.world.run_until([&got] { return got.has_value(); });
+    auto const is_whole = got && got->has_value();
+    return {source, is_whole ? (*got)->body : std::string{"broken"}};
+}
+
+TEST(run_on_a_leaving_replica, is_copied_stopped_and_goes_on_elsewhere)
+{
+    auto with = moving_pair{};
+    ASSERT_TRUE(with.world.start());
+    auto const [source, body] = ask_and_leave(with);
+    EXPECT_EQ(body, event(1) + event(2) + event(3) + event(4) + event(5));
+    EXPECT_EQ(with.orders, (std::vector<std::string>{"copy", "stop"}));
+    EXPECT_EQ(with.memory_asked, source + "/h1");
+    EXPECT_TRUE(with.world.logged("went on after a move"));
+}
+
+TEST(run_on_a_leaving_replica, that_is_not_known_yet_is_copied_a_little_later)
+{
+    auto with = moving_pair{};
+    with.copies_refused = 2;
+    ASSERT_TRUE(with.world.start());
+    auto const [source, body] = ask_and_leave(with);
+    EXPECT_EQ(body, event(1) + event(2) + event(3) + event(4) + event(5));
+    EXPECT_EQ(
+        with.orders,
+        (std::vector<std::string>{"copy", "copy", "copy", "stop"}));
+}
+
+TEST(time_of_a_move, grows_with_the_memory)
+{
+    auto const traits = engine_traits{34'000, 18'432, 2'700, true, true, 4};
+    auto const four_thousand = move_time(traits, 4'000);
+    EXPECT_GT(four_thousand, std::chrono::milliseconds{218});
+    EXPECT_LT(four_thousand, std::chrono::milliseconds{300});
+    EXPECT_EQ(move_time(traits, 8'000), 2 * four_thousand);
+    EXPECT_EQ(move_time({}, 8'000), duration{0});
+}
+
+} // namespace
+} // namespace sapphirereel::relay::test
