--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -25,6 +25,18 @@
 inline constexpr auto stop_idle_after =
     duration{std::chrono::milliseconds{2'500}};
 
+/// Time from the order to stop from which on no stream begins here any more:
+/// it would not end before the process.
+inline constexpr auto stop_streams_after =
+    duration{std::chrono::milliseconds{2'000}};
+
+/// Time before the end of the process that a plain request still needs, and
+/// when a refused caller may try another daemon.
+inline constexpr auto least_time_for_plain =
+    duration{std::chrono::milliseconds{1'200}};
+inline constexpr auto retry_elsewhere_after =
+    duration{std::chrono::milliseconds{50}};
+
 /// Shortest time from the order to stop to the end of the process: callers
 /// that keep an old answer still come.
 inline constexpr auto least_stop_time =
@@ -230,6 +242,13 @@
             send_refusal(*from, granted.error(), read->id, state_);
             return;
         }
+        if (is_too_late_for(granted->route->kind))
+        {
+            send_refusal(
+                *from, {refusal_reason::stopping, 503, retry_elsewhere_after},
+                read->id, state_);
+            return;
+        }
         if (state_.active >= most_active)
         {
             send_refusal(
@@ -247,6 +266,19 @@
             state_, std::move(from), std::move(*read), std::move(*granted));
     }
 
+    /// Whether the planned stop would cut off a request that begins now.
+    [[nodiscard]] auto is_too_late_for(request_kind kind) const -> bool
+    {
+        if (!state_.stopping)
+        {
+            return false;
+        }
+        auto const since = telemetry::monotonic_now() - stop_began_;
+        auto const left = settings_.stop_limit - stop_margin - since;
+        return kind == request_kind::stream ? since >= stop_streams_after
+                                            : left < least_time_for_plain;
+    }
+
     // Peers.
 
     auto describe() -> peer_report
--- a/test/correctness/relay/knowledge_is_kept_and_passed_on.cpp
+++ b/test/correctness/relay/knowledge_is_kept_and_passed_on.cpp
@@ -105,5 +105,29 @@
     EXPECT_TRUE(world.run_until([&ended] { return ended; }));
 }
 
+// Answers the pattern of callers that keep an old answer and come while the
+// daemon stops.
+TEST(relay, that_stops_soon_begins_no_stream_that_it_would_cut_off)
+{
+    auto world = relay_world{};
+    auto replica = fake_replica{world.loop, serve_well};
+    world.configure(1);
+    world.add("one", "plain", replica);
+    world.add("two", "engine", replica);
+    ASSERT_TRUE(world.start());
+    world.node().stop([] {});
+    world.loop.run_for(std::chrono::milliseconds{2'100});
+    world.loop.restart();
+    auto const stream = world.ask("GET", "/stream/a");
+    ASSERT_TRUE(stream);
+    EXPECT_EQ(stream->head.status, 503);
+    EXPECT_TRUE(http::find(stream->head.fields, "Retry-After"));
+    EXPECT_FALSE(stream->head.keep_alive);
+    EXPECT_TRUE(replica.requests.empty());
+    auto const plain = world.ask("GET", "/once/a");
+    ASSERT_TRUE(plain);
+    EXPECT_EQ(plain->head.status, 200);
+}
+
 } // namespace
 } // namespace sapphirereel::relay::test
