Drop a connection's handlers with its loop, and keep tests' ports apart

The address sanitizer found callers' sessions left when a loop is destroyed with connections open: session and connection own each other until the connection ends. A wait that is destroyed unended now drops the handlers.

plain_request.that_was_rejected_once failed once of a whole plain run: its relay could not listen, since ports were probed on 127.0.0.1 by tests side by side. Each test process now has a loopback address of its own.

--- a/packages/relay/include/sapphirereel/relay/connection.hpp
+++ b/packages/relay/include/sapphirereel/relay/connection.hpp
@@ -85,6 +85,8 @@
     [[nodiscard]] auto has_input() -> bool;
 
 private:
+    struct pending_wait;
+
     explicit connection(asio::ip::tcp::socket socket);
 
     auto wait_readable() -> void;
--- a/packages/relay/src/connection.cpp
+++ b/packages/relay/src/connection.cpp
@@ -102,6 +102,30 @@
     reading_ = false;
 }
 
+/// A wait that has not ended. Where the loop is destroyed before it does, the
+/// handlers are dropped, since they own what owns the connection.
+struct connection::pending_wait
+{
+    explicit pending_wait(std::shared_ptr<connection> held)
+        : over(std::move(held))
+    {}
+    pending_wait(pending_wait&& other) noexcept
+        : over(std::exchange(other.over, nullptr))
+    {}
+    auto operator=(pending_wait&&) -> pending_wait& = delete;
+    pending_wait(pending_wait const&) = delete;
+    auto operator=(pending_wait const&) -> pending_wait& = delete;
+    ~pending_wait()
+    {
+        if (over)
+        {
+            auto const dropped = std::exchange(over->handlers_, handlers{});
+        }
+    }
+
+    std::shared_ptr<connection> over;
+};
+
 auto connection::wait_readable() -> void
 {
     if (waiting_readable_ || !socket_.is_open())
@@ -111,7 +135,9 @@
     waiting_readable_ = true;
     socket_.async_wait(
         asio::ip::tcp::socket::wait_read,
-        [self = shared_from_this()](std::error_code error) {
+        [pending =
+             pending_wait{shared_from_this()}](std::error_code error) mutable {
+            auto const self = std::exchange(pending.over, nullptr);
             self->waiting_readable_ = false;
             if (!error && self->socket_.is_open())
             {
--- a/test/correctness/relay/runs_are_moved_off_leaving_replicas.cpp
+++ b/test/correctness/relay/runs_are_moved_off_leaving_replicas.cpp
@@ -71,7 +71,7 @@
         auto const is_one = !one.requests.empty();
         world.add(
             is_one ? "one" : "two", "engine", is_one ? one : two, "draining");
-        return fmt::format("127.0.0.1:{}", is_one ? one.port : two.port);
+        return fmt::format("{}:{}", own_ip(), is_one ? one.port : two.port);
     }
 
     relay_world world;
--- a/test/support/relay/relay_world.hpp
+++ b/test/support/relay/relay_world.hpp
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <unistd.h>
 #include <vector>
 
 namespace sapphirereel::relay::test {
@@ -87,11 +88,19 @@
     std::map<keyed_stream, std::vector<keyed_record>> records_;
 };
 
+/// A loopback address of this process alone, so that tests that run beside each
+/// other never take each other's ports.
+inline auto own_ip() -> std::string
+{
+    auto const number = static_cast<unsigned>(::getpid());
+    return fmt::format("127.{}.{}.1", 64 + (number >> 8U) % 64, number % 256);
+}
+
 /// A port that nothing listens on at the moment.
 inline auto free_port(asio::io_context& loop) -> std::uint16_t
 {
     auto probe =
-        asio::ip::tcp::acceptor{loop, {asio::ip::make_address("127.0.0.1"), 0}};
+        asio::ip::tcp::acceptor{loop, {asio::ip::make_address(own_ip()), 0}};
     return probe.local_endpoint().port();
 }
 
@@ -107,7 +116,7 @@
         , serve_(std::move(serve))
     {
         listener_ = std::move(*listener::open(
-            loop, {asio::ip::make_address("127.0.0.1"), port},
+            loop, {asio::ip::make_address(own_ip()), port},
             [this](asio::ip::tcp::socket socket) {
                 caller_session::start(
                     std::move(socket), [] { return caller_limits{}; },
@@ -174,9 +183,9 @@
         log.write(
             keyed_stream::replicas, id,
             fmt::format(
-                R"({{"service":"{}","address":"127.0.0.1:{}","zone":"z",)"
+                R"({{"service":"{}","address":"{}:{}","zone":"z",)"
                 R"("slots":4,"state":"{}"}})",
-                service, replica.port, state));
+                service, own_ip(), replica.port, state));
     }
 
     /// Puts a configuration into the log: routes /safe/, /once/ and /stream/,
@@ -248,7 +257,7 @@
 
     [[nodiscard]] auto caller_address() const -> asio::ip::tcp::endpoint
     {
-        return {asio::ip::make_address("127.0.0.1"), caller_port_};
+        return {asio::ip::make_address(own_ip()), caller_port_};
     }
 
     auto node() -> auto&
@@ -276,8 +285,8 @@
         caller_port_ = callers;
         auto settings = relay_settings{};
         settings.zone = zone_name{"z"};
-        settings.callers = {"127.0.0.1", callers};
-        settings.peers = {"127.0.0.1", peers};
+        settings.callers = {own_ip(), callers};
+        settings.peers = {own_ip(), peers};
         settings.retry_budget = {0.2, 50, std::chrono::seconds{10}};
         return settings;
     }
