Find requests that crash replicas, tell peers of them, refuse them at once

Cause: the relay sent a request that crashes each replica which runs it to a replica for every attempt of its caller, on every daemon. The core's lethal_requests was not composed into the relay; refusal_reason had the name but nothing gave it.

Change: crash_watch keeps the core's module with 3 deaths, told by each call whose connection ended at a replica that was not to leave. Deaths and what clears a request travel in the peers' reports for 6 s. A request found so is refused with 503 before it is sent, and not sent again within an attempt. Replicas now carry the time of their start, so that two starts under one id count as two, and a copy kept by an earlier start is not used.

Ruled out: counting broken connections a replica (blames what ran beside it); a 4xx of our own (an innocent request refused so would be denied for good).

--- a/packages/core/include/sapphirereel/core/lethal_request.hpp
+++ b/packages/core/include/sapphirereel/core/lethal_request.hpp
@@ -100,6 +100,12 @@
         return ran_to_end(content, now);
     }
 
+    /// Whether any death is remembered, so that a verdict may not be clear.
+    [[nodiscard]] auto knows_any() const -> bool
+    {
+        return !deaths_.empty();
+    }
+
     /// How a request with this content may run.
     [[nodiscard]] auto verdict(digest const& content) const -> lethal_verdict;
 
--- a/packages/relay/include/sapphirereel/relay/exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/exchange.hpp
@@ -51,6 +51,13 @@
     /// Ends the request with a status that promises nothing.
     auto fail(int status, std::string_view why) -> void;
 
+    /// Notes that a call failed, in case the request crashed its replica.
+    auto note_crash(replica const& at, call_failure const& why, time_point now)
+        -> void;
+
+    /// Notes that a replica answered the request.
+    auto note_answered(time_point now) -> void;
+
     /// Whether an attempt may have run the request.
     [[nodiscard]] auto may_have_run() const -> bool
     {
@@ -63,8 +70,8 @@
         return granted.deadline - now;
     }
 
-    /// Whether another send is covered by the retry budget; the first one
-    /// always is.
+    /// Whether another send is covered by the retry budget, and would not crash
+    /// another replica; the first one always is covered.
     auto may_send_again(time_point now) -> bool;
 
     [[nodiscard]] auto engine() const -> std::optional<engine_traits>;
@@ -86,6 +93,10 @@
 
 private:
     auto pick_service() -> service_name;
+    auto content() -> digest const&;
+
+    /// Digest of the request's content, once it has been needed.
+    std::optional<digest> content_;
 };
 
 /// Answers a request that is not served.
--- a/packages/relay/include/sapphirereel/relay/peer_report.hpp
+++ b/packages/relay/include/sapphirereel/relay/peer_report.hpp
@@ -4,6 +4,7 @@
 #define SAPPHIREREEL_RELAY_PEER_REPORT_HPP
 
 #include "sapphirereel/core/identifier.hpp"
+#include "sapphirereel/relay/crash_watch.hpp"
 #include "sapphirereel/relay/replica_table.hpp"
 
 #include <cstdint>
@@ -43,6 +44,8 @@
     std::uint64_t replicas_next = 0;
     std::vector<leaving_replica> leaving;
     load_report load;
+    /// Crashes that it saw, and what they were not due to.
+    crash_news crashes;
     /// Addresses of daemons that it has heard of.
     std::vector<std::string> known;
     auto operator<=>(peer_report const&) const = default;
--- a/packages/relay/include/sapphirereel/relay/plain_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/plain_exchange.hpp
@@ -105,12 +105,13 @@
         asio::ip::tcp::endpoint const& to,
         duration left) -> void
     {
-        target_ = chosen.target.id;
-        all_.state.replicas.add(target_, one_request);
+
+        target_ = chosen.target;
+        all_.state.replicas.add(target_.id, one_request);
         counted_ = true;
         all_.state.log.request(
             all_.request.id, "sent",
-            {{"replica", target_},
+            {{"replica", target_.id},
              {"service", all_.service},
              {"route", all_.granted.route->name},
              {"configuration", all_.granted.table->configuration().version},
@@ -132,7 +133,8 @@
         call_ = all_.state.pool.start(
             to,
             Format::write_call(
-                all_.request, {target_, left, all_.granted.customer, {}, {}}),
+                all_.request,
+                {target_.id, left, all_.granted.customer, {}, {}}),
             options,
             {[self](http::response_head const& head) { self->head_ = head; },
              [self](std::string const& body) { self->body_ += body; },
@@ -174,7 +176,7 @@
         call_.reset();
         if (std::exchange(counted_, false))
         {
-            all_.state.replicas.remove(target_, one_request);
+            all_.state.replicas.remove(target_.id, one_request);
         }
     }
 
@@ -189,7 +191,7 @@
         auto const answer = Format::read_answer(*head_);
         if (answer.load)
         {
-            all_.state.replicas.stated(target_, *answer.load, now);
+            all_.state.replicas.stated(target_.id, *answer.load, now);
         }
         auto const is_ours =
             answer.request_id.empty() || answer.request_id == all_.request.id;
@@ -208,13 +210,14 @@
                  "the answer is not the replica's answer to this request"});
             return;
         }
-        all_.state.replicas.succeeded(target_);
+        all_.state.replicas.succeeded(target_.id);
+        all_.note_answered(now);
         auto const may_improve = head_->status >= 500 && is_idempotent() &&
                                  all_.runs < all_.granted.route->max_attempts;
         if (may_improve)
         {
             fallback_ = http::response{*head_, body_};
-            all_.excluded.insert(target_);
+            all_.excluded.insert(target_.id);
             attempt();
             return;
         }
@@ -228,12 +231,12 @@
         all_.state.metrics.add(relay_counter::replica_rejections);
         all_.state.log.request(
             all_.request.id, "rejected by the replica",
-            {{"replica", target_}, {"status", head_->status}});
+            {{"replica", target_.id}, {"status", head_->status}});
         if (head_->status == 421)
         {
-            all_.state.replicas.failed(target_, now);
+            all_.state.replicas.failed(target_.id, now);
         }
-        all_.excluded.insert(target_);
+        all_.excluded.insert(target_.id);
         attempt();
     }
 
@@ -245,11 +248,12 @@
             return;
         }
         auto const now = telemetry::monotonic_now();
-        all_.state.replicas.failed(target_, now);
-        all_.excluded.insert(target_);
+        all_.state.replicas.failed(target_.id, now);
+        all_.note_crash(target_, why, now);
+        all_.excluded.insert(target_.id);
         all_.state.log.request(
             all_.request.id, "attempt failed",
-            {{"replica", target_},
+            {{"replica", target_.id},
              {"why", why.detail},
              {"stage", static_cast<int>(why.stage)}});
         if (why.stage == call_stage::connecting)
@@ -298,7 +302,7 @@
         all_.state.metrics.observe(relay_timing::answer, now - all_.began);
         all_.state.log.request(
             all_.request.id, "answered",
-            {{"replica", target_},
+            {{"replica", target_.id},
              {"status", answer.head.status},
              {"bytes", answer.body.size()},
              {"after", now - all_.began}});
@@ -338,7 +342,7 @@
         all_.state.metrics.add(relay_counter::callers_gone);
         all_.state.log.request(
             all_.request.id, "caller left",
-            {{"replica", target_},
+            {{"replica", target_.id},
              {"after", telemetry::monotonic_now() - all_.began}});
     }
 
@@ -347,7 +351,7 @@
     exchange all_;
     asio::steady_timer attempt_timer_;
     std::shared_ptr<upstream_call> call_;
-    endpoint_id target_;
+    replica target_;
     bool counted_ = false;
     std::optional<http::response_head> head_;
     std::string body_;
--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -45,6 +45,10 @@
 /// Time before the limit of a stop at which what still runs is broken off.
 inline constexpr auto stop_margin = duration{std::chrono::milliseconds{400}};
 
+/// When a caller may try a request again that crashed replicas; they forget it
+/// in time, as their software may have been mended.
+inline constexpr auto retry_lethal_after = duration{std::chrono::seconds{60}};
+
 /// Most requests served at once.
 inline constexpr auto most_active = std::size_t{1'500};
 
@@ -242,6 +246,14 @@
             send_refusal(*from, granted.error(), read->id, state_);
             return;
         }
+        if (crashes_replicas(*read, *granted))
+        {
+            send_refusal(
+                *from,
+                {refusal_reason::crashes_replicas, 503, retry_lethal_after},
+                read->id, state_);
+            return;
+        }
         if (is_too_late_for(granted->route->kind))
         {
             send_refusal(
@@ -266,6 +278,13 @@
             state_, std::move(from), std::move(*read), std::move(*granted));
     }
 
+    [[nodiscard]] auto crashes_replicas(
+        caller_request const& request, grant const& terms) const -> bool
+    {
+        return state_.crashes.suspects_any() &&
+               state_.crashes.is_lethal(content_of(request, terms.customer));
+    }
+
     /// Whether the planned stop would cut off a request that begins now.
     [[nodiscard]] auto is_too_late_for(request_kind kind) const -> bool
     {
@@ -288,6 +307,7 @@
         report.zone = settings_.zone;
         report.takes_callers = is_ready();
         report.load = state_.replicas.own_load();
+        report.crashes = state_.crashes.to_tell();
         known_.describe(report, telemetry::monotonic_now());
         return report;
     }
@@ -296,6 +316,7 @@
     {
         state_.daemons = peers_.most_daemons();
         state_.replicas.set_peer_load(daemon_id{report.ip}, report.load, now);
+        state_.crashes.heard(report.crashes, now);
         known_.heard(report, now);
     }
 
@@ -340,6 +361,7 @@
             auto const held = each.lock();
             return !held || !held->is_open();
         });
+        state_.crashes.expire(now);
         known_.tick(now);
         tick_.expires_after(tick_interval);
         tick_.async_wait([this](std::error_code error) {
--- a/packages/relay/include/sapphirereel/relay/relay_state.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_state.hpp
@@ -4,6 +4,7 @@
 #define SAPPHIREREEL_RELAY_RELAY_STATE_HPP
 
 #include "sapphirereel/core/length_estimate.hpp"
+#include "sapphirereel/relay/crash_watch.hpp"
 #include "sapphirereel/relay/event_log.hpp"
 #include "sapphirereel/relay/relay_metrics.hpp"
 #include "sapphirereel/relay/replica_table.hpp"
@@ -74,6 +75,7 @@
     std::mt19937_64 random;
     event_log log;
     relay_metrics metrics;
+    crash_watch crashes;
     /// Streams by the replica they run on.
     std::map<endpoint_id, std::set<leaving_listener*>> streams;
     /// Told when this daemon's count of the work on replicas has changed.
--- a/packages/relay/include/sapphirereel/relay/replica_table.hpp
+++ b/packages/relay/include/sapphirereel/relay/replica_table.hpp
@@ -30,6 +30,8 @@
     std::uint32_t slots = 1;
     /// Whether it takes no new work because it is leaving.
     bool leaving = false;
+    /// Unix time of its start; tells starts under one id apart.
+    std::uint64_t started_at_ms = 0;
     auto operator<=>(replica const&) const = default;
 };
 
--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -279,7 +279,13 @@
     {
         auto const* const held =
             backup_ ? all_.state.replicas.find(backup_->id) : nullptr;
-        return held != nullptr && !held->leaving;
+        return held != nullptr && !held->leaving && is_same_start(*held);
+    }
+
+    /// A replica that has started again under its id has lost the copy.
+    [[nodiscard]] auto is_same_start(replica const& held) const -> bool
+    {
+        return held.started_at_ms == backup_->started_at_ms;
     }
 
     /// Goes on from the copy of a run whose replica is lost.
@@ -287,7 +293,8 @@
     {
         auto const* const held =
             backup_ ? all_.state.replicas.find(backup_->id) : nullptr;
-        auto const to = held ? address_of(*held) : std::nullopt;
+        auto const to =
+            held && is_same_start(*held) ? address_of(*held) : std::nullopt;
         if (!to || !begun_ || !last_event_)
         {
             return false;
@@ -465,6 +472,7 @@
             return;
         }
         all_.state.replicas.succeeded(target_.id);
+        all_.note_answered(now);
         finish(now);
     }
 
@@ -532,6 +540,7 @@
             return;
         }
         all_.state.replicas.failed(target_.id, now);
+        all_.note_crash(target_, why, now);
         all_.state.log.request(
             all_.request.id, "replica lost",
             {{"replica", target_.id},
--- a/packages/relay/include/sapphirereel/relay/upstream_call.hpp
+++ b/packages/relay/include/sapphirereel/relay/upstream_call.hpp
@@ -32,6 +32,8 @@
 {
     call_stage stage = call_stage::connecting;
     std::string detail;
+    /// Whether the connection ended, as it does when the other process dies.
+    bool connection_ended = false;
     auto operator<=>(call_failure const&) const = default;
 };
 
@@ -85,7 +87,7 @@
     auto end(connection_end how) -> void;
     auto deliver_body() -> void;
     auto complete() -> void;
-    auto fail(call_stage stage, std::string detail) -> void;
+    auto fail(call_failure why) -> void;
 
     upstream_pool* pool_;
     asio::ip::tcp::endpoint to_;
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -57,6 +57,10 @@
     {
         return true;
     }
+    if (state.crashes.suspects_any() && state.crashes.is_lethal(content()))
+    {
+        return false;
+    }
     auto const covered =
         state.retries_of(service).try_spend(state.daemons, now);
     if (covered)
@@ -66,6 +70,44 @@
     return covered;
 }
 
+auto exchange::content() -> digest const&
+{
+    if (!content_)
+    {
+        content_ = content_of(request, granted.customer);
+    }
+    return *content_;
+}
+
+auto exchange::note_crash(
+    replica const& at, call_failure const& why, time_point now) -> void
+{
+    // A replica that was to leave ended as planned, whatever it ran.
+    auto const* const listed = state.replicas.find(at.id);
+    auto const may_have_crashed = why.connection_ended && listed != nullptr &&
+                                  !listed->leaving &&
+                                  why.stage != call_stage::connecting;
+    if (!may_have_crashed)
+    {
+        return;
+    }
+    state.crashes.crashed(at, content(), now);
+    if (state.crashes.is_lethal(content()))
+    {
+        state.log.request(
+            request.id, "found to crash replicas",
+            {{"replica", at.id}, {"content", content()}});
+    }
+}
+
+auto exchange::note_answered(time_point now) -> void
+{
+    if (state.crashes.suspects_any())
+    {
+        state.crashes.answered(content(), now);
+    }
+}
+
 auto exchange::refuse(refusal_reason why) -> void
 {
     if (std::exchange(over, true))
--- a/packages/relay/src/peer_report.cpp
+++ b/packages/relay/src/peer_report.cpp
@@ -10,7 +10,7 @@
 using nlohmann::json;
 
 /// Form of the datagram; others are dropped.
-constexpr auto report_form = 1;
+constexpr auto report_form = 2;
 
 /// Fields of a report, in their order in the datagram.
 enum field_position : std::size_t
@@ -27,10 +27,70 @@
     replicas_next_at,
     leaving_at,
     load_at,
+    deaths_at,
+    cleared_at,
     known_at,
     field_count
 };
 
+auto write_digests(std::vector<digest> const& digests) -> json
+{
+    auto list = json::array();
+    for (auto const& each : digests)
+    {
+        list.push_back(each.str());
+    }
+    return list;
+}
+
+auto read_digests(json const& from) -> std::vector<digest>
+{
+    auto digests = std::vector<digest>{};
+    for (auto const& each : from)
+    {
+        digests.emplace_back(each.get<std::string>());
+    }
+    return digests;
+}
+
+auto write_deaths(std::vector<death_message> const& deaths) -> json
+{
+    auto list = json::array();
+    for (auto const& each : deaths)
+    {
+        list.push_back(
+            json::array({each.death.str(), write_digests(each.in_flight)}));
+    }
+    return list;
+}
+
+auto write_cleared(std::vector<cleared_message> const& cleared) -> json
+{
+    auto list = json::array();
+    for (auto const& each : cleared)
+    {
+        list.push_back(
+            json::array({each.content.str(), write_digests(each.deaths)}));
+    }
+    return list;
+}
+
+auto read_crashes(json const& deaths, json const& cleared) -> crash_news
+{
+    auto news = crash_news{};
+    for (auto const& each : deaths)
+    {
+        news.deaths.push_back(
+            {digest{each.at(0).get<std::string>()}, read_digests(each.at(1))});
+    }
+    for (auto const& each : cleared)
+    {
+        news.cleared.push_back(
+            {digest{each.at(0).get<std::string>()}, read_digests(each.at(1))});
+    }
+    return news;
+}
+
 } // namespace
 
 auto write_peer_report(peer_report const& report) -> std::string
@@ -53,7 +113,9 @@
         {report_form, report.ip, report.incarnation, report.sequence,
          report.caller_address, report.zone.str(), report.takes_callers,
          report.is_in_touch, report.configuration_next, report.replicas_next,
-         std::move(leaving), std::move(load), report.known});
+         std::move(leaving), std::move(load),
+         write_deaths(report.crashes.deaths),
+         write_cleared(report.crashes.cleared), report.known});
     auto bytes = std::string{};
     json::to_msgpack(fields, bytes);
     return bytes;
@@ -95,6 +157,7 @@
                 each.at(1).get<std::uint32_t>(), each.at(2).get<double>(),
                 each.at(3).get<double>(), each.at(4).get<double>()};
         }
+        report.crashes = read_crashes(fields[deaths_at], fields[cleared_at]);
         report.known = fields[known_at].get<std::vector<std::string>>();
         return report;
     }
--- a/packages/relay/src/upstream_call.cpp
+++ b/packages/relay/src/upstream_call.cpp
@@ -74,7 +74,7 @@
     auto const fed = parser_.feed(bytes);
     if (!fed)
     {
-        fail(call_stage::answering, fed.error());
+        fail({call_stage::answering, fed.error()});
         return;
     }
     deliver_body();
@@ -121,9 +121,10 @@
         }
     }
     fail(
-        parser_.head() ? call_stage::answering : call_stage::waiting,
-        how == connection_end::closed ? "the connection was closed"
-                                      : "the connection broke");
+        {parser_.head() ? call_stage::answering : call_stage::waiting,
+         how == connection_end::closed ? "the connection was closed"
+                                       : "the connection broke",
+         true});
 }
 
 auto upstream_call::complete() -> void
@@ -149,7 +150,7 @@
     }
 }
 
-auto upstream_call::fail(call_stage stage, std::string detail) -> void
+auto upstream_call::fail(call_failure why) -> void
 {
     if (std::exchange(over_, true))
     {
@@ -162,7 +163,7 @@
     auto const told = std::exchange(handlers_, {});
     if (told.failed)
     {
-        told.failed({stage, std::move(detail)});
+        told.failed(why);
     }
 }
 
@@ -233,7 +234,7 @@
             }
             if (error)
             {
-                call->fail(call_stage::connecting, error.message());
+                call->fail({call_stage::connecting, error.message()});
                 return;
             }
             call->begin(std::move(made));
--- a/test/fuzz/relay/peer_reports_survive_the_round_trip.cpp
+++ b/test/fuzz/relay/peer_reports_survive_the_round_trip.cpp
@@ -21,6 +21,9 @@
     report.replicas_next = 12;
     report.leaving = {{endpoint_id{"a"}, 11}};
     report.load = {{endpoint_id{"b"}, {2, 300, 100, 50}}};
+    report.crashes = {
+        {{digest{"d"}, {digest{"c1"}, digest{"c2"}}}},
+        {{digest{"c1"}, {digest{"d"}}}}};
     report.known = {"10.0.0.2"};
     EXPECT_EQ(read_peer_report(write_peer_report(report)), report);
 }
