--- a/packages/relay/include/sapphirereel/relay/knowledge.hpp
+++ b/packages/relay/include/sapphirereel/relay/knowledge.hpp
@@ -14,6 +14,7 @@
 #include "sapphirereel/relay/whole_call.hpp"
 
 #include <functional>
+#include <map>
 #include <set>
 #include <vector>
 
@@ -49,6 +50,7 @@
         std::function<void()> news)
         : state_(state)
         , own_(settings.peers)
+        , zone_(settings.zone)
         , news_(std::move(news))
         , configuration_(
               state.loop,
@@ -100,11 +102,16 @@
         report.leaving = leaving_.to_tell(now);
     }
 
-    /// Takes in what a peer knows.
-    auto heard(peer_report const& report, time_point now) -> void
+    /// Takes in what a peer knows. True if the peer has lost the log or is in
+    /// touch with it again, so that others may have to read in its place.
+    auto heard(peer_report const& report, time_point now) -> bool
     {
         learn_leaving(report, now);
         fetch_if_behind(report, now);
+        auto const [known, is_new] =
+            touch_of_peers_.try_emplace(report.ip, report.is_in_touch);
+        auto const before = std::exchange(known->second, report.is_in_touch);
+        return before != report.is_in_touch;
     }
 
     /// The bytes of this daemon's copy of a stream, for a peer.
@@ -122,6 +129,10 @@
             replicas_changed();
         }
         leaving_.expire(now);
+        if (std::exchange(was_in_touch_, is_in_touch()) != is_in_touch())
+        {
+            news_();
+        }
     }
 
     /// Reads the log closely, or leaves that to others.
@@ -132,7 +143,7 @@
         {
             return;
         }
-        auto const closely = reads_closely(own_.ip, alive);
+        auto const closely = reads_closely(own_.ip, zone_, alive);
         auto const settings = follow_settings_of(closely, state_.daemons);
         configuration_.follow(settings);
         replicas_.follow(settings);
@@ -348,6 +359,7 @@
 
     relay_state& state_;
     listen_address own_;
+    zone_name zone_;
     std::function<void()> news_;
     log_follower<Log> configuration_;
     log_follower<Log> replicas_;
@@ -356,6 +368,9 @@
     time_point next_fetch_at_{};
     time_point recheck_lapsed_at_{};
     bool reads_closely_ = false;
+    /// Whether each peer was in touch with the log, by its last report.
+    std::map<std::string, bool> touch_of_peers_;
+    bool was_in_touch_ = false;
 };
 
 } // namespace sapphirereel::relay
--- a/packages/relay/include/sapphirereel/relay/reader_rank.hpp
+++ b/packages/relay/include/sapphirereel/relay/reader_rank.hpp
@@ -7,16 +7,19 @@
 #include "sapphirereel/relay/log_follower.hpp"
 #include "sapphirereel/relay/peer_report.hpp"
 
-#include <string_view>
+#include <string>
 #include <vector>
 
 namespace sapphirereel::relay {
 
 /// Whether a daemon reads closely: it is among the first of the daemons that
-/// are alive and in touch with the log, in order of their addresses. One that
-/// hears of no other reads closely.
+/// are alive and in touch with the log. The first of each zone, in order of
+/// their addresses, go before the second of any, so that one zone's links don't
+/// carry all reads. One that hears of no other reads closely.
 auto reads_closely(
-    std::string_view own_ip, std::vector<peer_report> const& alive) -> bool;
+    std::string const& own_ip,
+    zone_name const& own_zone,
+    std::vector<peer_report> const& alive) -> bool;
 
 /// How the streams are followed by a daemon that reads closely or not, where
 /// there are so many daemons.
--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -317,7 +317,10 @@
         state_.daemons = peers_.most_daemons();
         state_.replicas.set_peer_load(daemon_id{report.ip}, report.load, now);
         state_.crashes.heard(report.crashes, now);
-        known_.heard(report, now);
+        if (known_.heard(report, now))
+        {
+            known_.share_reading(peers_.alive(now), now);
+        }
     }
 
     /// Serves copies and metrics.
--- a/test/correctness/relay/control_traffic_does_not_grow_with_daemons.cpp
+++ b/test/correctness/relay/control_traffic_does_not_grow_with_daemons.cpp
@@ -45,6 +45,9 @@
 TEST(close_reads, wait_for_news)
 {
     EXPECT_GT(follow_settings_of(true, 9).wait, duration{0});
+    EXPECT_LE(
+        follow_settings_of(true, target_daemons).pause,
+        duration{std::chrono::milliseconds{200}});
     EXPECT_EQ(follow_settings_of(false, 9).wait, duration{0});
     EXPECT_EQ(follow_settings_of(false, 9).pause, distant_read_pause(9));
 }
--- a/test/correctness/relay/peers_are_known_by_their_reports.cpp
+++ b/test/correctness/relay/peers_are_known_by_their_reports.cpp
@@ -54,12 +54,37 @@
 {
     auto alive = std::vector<peer_report>{
         report_of("1", 1), report_of("2", 1), report_of("3", 1)};
-    EXPECT_FALSE(reads_closely("4", alive));
-    EXPECT_TRUE(reads_closely("0", alive));
+    auto const zone = zone_name{};
+    EXPECT_FALSE(reads_closely("4", zone, alive));
+    EXPECT_TRUE(reads_closely("0", zone, alive));
     // One that the log turns away leaves its place to the next.
     alive[1].is_in_touch = false;
-    EXPECT_TRUE(reads_closely("4", alive));
-    EXPECT_TRUE(reads_closely("9", {}));
+    EXPECT_TRUE(reads_closely("4", zone, alive));
+    EXPECT_TRUE(reads_closely("9", zone, {}));
+}
+
+TEST(close_readers, are_spread_over_the_zones)
+{
+    auto alive = std::vector<peer_report>{};
+    for (auto const* const ip : {"1", "2", "3", "4", "5", "6"})
+    {
+        alive.push_back(report_of(ip, 1));
+        alive.back().zone = zone_name{std::string{ip} < "4" ? "a" : "b"};
+    }
+    auto const closely = [&](std::string const& ip, std::string const& zone) {
+        return reads_closely(ip, zone_name{zone}, alive);
+    };
+    EXPECT_TRUE(closely("1", "a"));
+    EXPECT_TRUE(closely("2", "a"));
+    EXPECT_FALSE(closely("3", "a"));
+    EXPECT_TRUE(closely("4", "b"));
+    EXPECT_FALSE(closely("5", "b"));
+    EXPECT_TRUE(closely("7", "c"));
+    // A zone that is cut off leaves its places to the others.
+    alive[3].is_in_touch = false;
+    alive[4].is_in_touch = false;
+    alive[5].is_in_touch = false;
+    EXPECT_TRUE(closely("3", "a"));
 }
 
 } // namespace
