Tell one request's story from logs: sapphirereelctl explain-request

Cause: the walks in OPERATIONS had to be done with grep over the logs of many daemons, and the lines that decided (the configuration in force before the request, its replica's leaving) carry no request id, so that a reader had to know them.

Change: explain-request reads log files or standard input, takes the request's lines of all daemons, adds what their daemons learnt meanwhile of its replicas, the configuration and the log, and says where lines were dropped. Commands state whether they need a daemon.

--- a/packages/client/include/sapphirereel/client/command.hpp
+++ b/packages/client/include/sapphirereel/client/command.hpp
@@ -20,6 +20,8 @@
     std::string_view example;
     auto(*run)(command_context const& context, command_words words)
         -> exit_code;
+    /// Whether it asks a daemon; others work on files alone.
+    bool needs_daemon = true;
 };
 
 /// All commands, in the order in which help lists them.
--- a/packages/client/src/command.cpp
+++ b/packages/client/src/command.cpp
@@ -1,6 +1,7 @@
 #include "sapphirereel/client/command.hpp"
 
 #include "sapphirereel/client/cluster_commands.hpp"
+#include "sapphirereel/client/explain_request_command.hpp"
 #include "sapphirereel/client/object_commands.hpp"
 #include "sapphirereel/client/replay_command.hpp"
 #include "sapphirereel/client/text_table.hpp"
@@ -74,6 +75,11 @@
         "explain", "explain --service=S|--model=M [--customer=C]",
         "show where a request may go, and why not elsewhere",
         "explain --model=trasee-8b --customer=salvamont", run_explain},
+    command{
+        "explain-request", "explain-request ID [FILE ...]",
+        "tell a request's story from the logs of daemons",
+        "explain-request 9c41d07be2a35f68 entry-1.log entry-2.log",
+        run_explain_request, false},
     command{
         "status", "status", "show what a daemon is doing", "status",
         run_status},
@@ -98,7 +104,7 @@
     command{
         "replay", "replay FILE",
         "step a new core through a trace and say what came of it",
-        "replay trace.jsonl", run_replay}};
+        "replay trace.jsonl", run_replay, false}};
 
 constexpr auto common_options =
     "options of every command:\n"
--- a/packages/client/src/sapphirereelctl_main.cpp
+++ b/packages/client/src/sapphirereelctl_main.cpp
@@ -105,6 +105,21 @@
     return client::exit_code::done;
 }
 
+using daemon_addresses = std::vector<sapphirereel::socket_address>;
+
+/// The daemons that the flags name; none where the command needs none.
+auto daemons_for(std::vector<std::string> const& words)
+    -> client::outcome<daemon_addresses>
+{
+    auto const* const found =
+        words.empty() ? nullptr : client::find_command(words.front());
+    if (found != nullptr && !found->needs_daemon)
+    {
+        return daemon_addresses{};
+    }
+    return client::parse_addresses(absl::GetFlag(FLAGS_daemon));
+}
+
 auto run(std::vector<std::string> const& arguments) -> client::exit_code
 {
     if (wants_help(arguments))
@@ -114,10 +129,9 @@
     auto const words = client::parse_flags(arguments);
     auto const options = options_from_flags();
     auto const daemons =
-        words ? client::parse_addresses(absl::GetFlag(FLAGS_daemon))
-              : tl::unexpected(words.error());
-    auto const daemon = client::daemon_client{
-        daemons.value_or(std::vector<sapphirereel::socket_address>{}), {}};
+        words ? daemons_for(*words) : tl::unexpected(words.error());
+    auto const daemon =
+        client::daemon_client{daemons.value_or(daemon_addresses{}), {}};
     auto const context = client::command_context{
         options, daemon, std::cin, std::cout, std::cerr};
     return daemons ? client::run_command(context, *words)
