Tests of the relay: never take one port for two listeners

Cause: plain_request.that_is_idempotent_is_sent_again_after_a_break failed once in a whole run of the relay's tests, with start() false after 0 ms. free_port opens and closes a probe, so the kernel may hand the same port out again: to the relay's second listener or to a replica. Ruled out: load (it fails at once, idle or not) and other processes (each test process has an address of its own).

Ports that were handed out are remembered.

--- a/test/support/relay/relay_world.hpp
+++ b/test/support/relay/relay_world.hpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unistd.h>
 #include <vector>
@@ -96,12 +97,21 @@
     return fmt::format("127.{}.{}.1", 64 + (number >> 8U) % 64, number % 256);
 }
 
-/// A port that nothing listens on at the moment.
+/// A port that nothing listens on, and that was not handed out before: a relay
+/// takes two before it opens either.
 inline auto free_port(asio::io_context& loop) -> std::uint16_t
 {
-    auto probe =
-        asio::ip::tcp::acceptor{loop, {asio::ip::make_address(own_ip()), 0}};
-    return probe.local_endpoint().port();
+    static auto handed_out = std::set<std::uint16_t>{};
+    while (true)
+    {
+        auto const probe = asio::ip::tcp::acceptor{
+            loop, {asio::ip::make_address(own_ip()), 0}};
+        auto const port = probe.local_endpoint().port();
+        if (handed_out.insert(port).second)
+        {
+            return port;
+        }
+    }
 }
 
 /// A replica that answers as a test says.
