Hand peers only the records that changed, and read each entry once

Change: a daemon asks for what changed since the point that it has reached, and gets removals too; it gets every key only where the other's copy was replaced after that point and may have missed a removal. Entries are kept by offset, so that a bad one is also logged once.

A new property (brings_a_peer_up_to_its_own_point) failed first: a copy that jumps forward never sees a key that came and went in between, so it may tell of changes only from its last jump on.

--- a/packages/relay/include/sapphirereel/relay/knowledge.hpp
+++ b/packages/relay/include/sapphirereel/relay/knowledge.hpp
@@ -114,10 +114,11 @@
         return before != report.is_in_touch;
     }
 
-    /// The bytes of this daemon's copy of a stream, for a peer.
-    [[nodiscard]] auto copy_of(keyed_stream stream) -> std::string
+    /// The bytes of this daemon's copy of a stream, or of what changed in it,
+    /// for a peer.
+    [[nodiscard]] auto copy_of(copy_request const& asked) -> std::string
     {
-        return write_copy(follower_of(stream).cache());
+        return write_copy(follower_of(asked.stream).cache(), asked.from);
     }
 
     /// Looks at what is due with time.
@@ -201,23 +202,20 @@
     {
         auto const now = telemetry::monotonic_now();
         auto listed = std::vector<replica>{};
-        for (auto const& record : replicas_.cache().newest())
+        auto const newest = replicas_.cache().newest();
+        forget_entries(newest);
+        for (auto const& record : newest)
         {
-            auto read = Reader::read_replica(record);
-            if (!read)
+            auto entry = read_entry(record);
+            if (!entry)
             {
-                state_.log.warning(
-                    "replicas", "an entry names no replica to use",
-                    {{"key", record.key},
-                     {"offset", record.offset},
-                     {"why", read.error()}});
                 continue;
             }
-            if (leaving_.covers(read->id, record.offset))
+            if (leaving_.covers(entry->id, record.offset))
             {
-                read->leaving = true;
+                entry->leaving = true;
             }
-            listed.push_back(std::move(*read));
+            listed.push_back(std::move(*entry));
         }
         keep_lapsed(listed, now);
         auto const leaving = state_.replicas.set_replicas(listed);
@@ -227,6 +225,41 @@
         }
     }
 
+    /// The replica that a record names; each record is read once.
+    auto read_entry(keyed_record const& record) -> std::optional<replica>
+    {
+        auto const held = entries_.find(record.key);
+        if (held != entries_.end() && held->second.offset == record.offset)
+        {
+            return held->second.named;
+        }
+        auto read = Reader::read_replica(record);
+        if (!read)
+        {
+            state_.log.warning(
+                "replicas", "an entry names no replica to use",
+                {{"key", record.key},
+                 {"offset", record.offset},
+                 {"why", read.error()}});
+        }
+        auto named = read ? std::optional{std::move(*read)} : std::nullopt;
+        entries_[record.key] = {record.offset, named};
+        return named;
+    }
+
+    /// Forgets entries whose keys have gone.
+    auto forget_entries(std::vector<keyed_record> const& newest) -> void
+    {
+        auto present = std::set<std::string>{};
+        for (auto const& record : newest)
+        {
+            present.insert(record.key);
+        }
+        std::erase_if(entries_, [&](auto const& each) {
+            return !present.contains(each.first);
+        });
+    }
+
     /// Keeps replicas that vanished without leaving while the log was away or
     /// has just come back, unless a peer that has followed the log all the
     /// while tells that they are gone.
@@ -333,20 +366,30 @@
         whole_call::start(
             state_.loop, state_.pool, to,
             http::write_request(
-                "GET", copy_path(stream), {{"Host", from.ip}}, {}),
+                "GET", copy_path({stream, follower_of(stream).cache().next()}),
+                {{"Host", from.ip}}, {}),
             copy_limit,
             [this, stream, ip = from.ip](whole_answer const& answer) {
-                auto const page = answer && answer->head.status == 200
+                auto const copy = answer && answer->head.status == 200
                                       ? read_copy(answer->body)
                                       : std::nullopt;
                 state_.log.info(
-                    "peers", page ? "took a copy" : "got no copy",
+                    "peers", copy ? "took a copy" : "got no copy",
                     {{"stream", std::string{name_of(stream)}},
                      {"peer", ip},
-                     {"next", page ? page->next : 0}});
-                if (page)
+                     {"whole", copy && copy->is_whole},
+                     {"next", copy ? copy->page.next : 0}});
+                if (!copy)
                 {
-                    follower_of(stream).take_copy(page->records, page->next);
+                    return;
+                }
+                if (copy->is_whole)
+                {
+                    follower_of(stream).take_copy(copy->page);
+                }
+                else
+                {
+                    follower_of(stream).take_changes(copy->page);
                 }
             });
     }
@@ -357,6 +400,13 @@
                                                      : replicas_;
     }
 
+    /// What a record of the replicas' stream says.
+    struct entry
+    {
+        std::uint64_t offset = 0;
+        std::optional<replica> named;
+    };
+
     relay_state& state_;
     listen_address own_;
     zone_name zone_;
@@ -364,6 +414,7 @@
     log_follower<Log> configuration_;
     log_follower<Log> replicas_;
     leaving_news leaving_;
+    std::map<std::string, entry> entries_;
     time_point started_at_{};
     time_point next_fetch_at_{};
     time_point recheck_lapsed_at_{};
--- a/packages/relay/include/sapphirereel/relay/log_follower.hpp
+++ b/packages/relay/include/sapphirereel/relay/log_follower.hpp
@@ -119,11 +119,22 @@
         }
     }
 
-    /// Takes in a peer's copy.
-    auto take_copy(std::vector<keyed_record> const& newest, std::uint64_t next)
-        -> void
+    /// Takes in the newest records of all keys, from a peer's copy.
+    auto take_copy(keyed_page const& newest) -> void
     {
-        if (next > cache_.next() && cache_.replace(newest, next))
+        if (newest.next > cache_.next() &&
+            cache_.replace(newest.records, newest.next))
+        {
+            changed_();
+        }
+    }
+
+    /// Takes in what changed, by a peer's copy, since an offset that this copy
+    /// had reached.
+    auto take_changes(keyed_page const& changes) -> void
+    {
+        if (changes.next > cache_.next() &&
+            cache_.follow(changes.records, changes.next))
         {
             changed_();
         }
--- a/packages/relay/include/sapphirereel/relay/record_cache.hpp
+++ b/packages/relay/include/sapphirereel/relay/record_cache.hpp
@@ -40,6 +40,11 @@
     /// The newest records, removed keys left out, in order of their keys.
     [[nodiscard]] auto newest() const -> std::vector<keyed_record>;
 
+    /// The newest record of each key that changed from an offset on, removals
+    /// included; nothing if the copy may not know of a removal since then.
+    [[nodiscard]] auto changed_since(std::uint64_t offset) const
+        -> std::optional<std::vector<keyed_record>>;
+
     [[nodiscard]] auto find(std::string const& key) const
         -> keyed_record const*;
 
@@ -58,6 +63,9 @@
 
     std::map<std::string, keyed_record> records_;
     std::uint64_t next_ = 0;
+    /// Offset from which on all removals are known: the copy was last replaced
+    /// there.
+    std::uint64_t complete_from_ = 0;
 };
 
 } // namespace sapphirereel::relay
--- a/packages/relay/include/sapphirereel/relay/record_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/record_exchange.hpp
@@ -11,16 +11,35 @@
 
 namespace sapphirereel::relay {
 
-/// Path under which a daemon serves its copy of a stream to its peers.
-auto copy_path(keyed_stream stream) -> std::string;
-
-/// The stream that a path asks for.
-auto stream_of_path(std::string_view path) -> std::optional<keyed_stream>;
-
-auto write_copy(record_cache const& cache) -> std::string;
+/// Asks a daemon for its copy of a stream.
+struct copy_request
+{
+    keyed_stream stream = keyed_stream::configuration;
+    /// Offset before which the asker has taken in every record.
+    std::uint64_t from = 0;
+    auto operator<=>(copy_request const&) const = default;
+};
+
+/// What a daemon hands to a peer.
+struct copied_page
+{
+    keyed_page page;
+    /// Whether the page holds every key; else only what changed, removals
+    /// included, since the offset that was asked for.
+    bool is_whole = true;
+    auto operator<=>(copied_page const&) const = default;
+};
+
+/// The path and query under which a daemon serves its copies to its peers.
+auto copy_path(copy_request const& request) -> std::string;
+
+/// What a path asks for; nothing if it is none of a copy.
+auto read_copy_path(std::string_view path) -> std::optional<copy_request>;
+
+auto write_copy(record_cache const& cache, std::uint64_t from) -> std::string;
 
 /// Nothing if the bytes are no copy.
-auto read_copy(std::string_view bytes) -> std::optional<keyed_page>;
+auto read_copy(std::string_view bytes) -> std::optional<copied_page>;
 
 } // namespace sapphirereel::relay
 
--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -338,15 +338,15 @@
                         state_.metrics.page());
                     return;
                 }
-                auto const stream = stream_of_path(request.target);
-                if (!stream)
+                auto const asked = read_copy_path(request.target);
+                if (!asked)
                 {
                     from->respond(404, {}, {});
                     return;
                 }
                 from->respond(
                     200, {{"Content-Type", "application/msgpack"}},
-                    known_.copy_of(*stream));
+                    known_.copy_of(*asked));
             }));
     }
 
--- a/packages/relay/src/record_cache.cpp
+++ b/packages/relay/src/record_cache.cpp
@@ -37,6 +37,11 @@
 auto record_cache::replace(
     std::vector<keyed_record> const& newest, std::uint64_t next) -> bool
 {
+    if (next > next_)
+    {
+        // A key that came and went since the last point was never seen here.
+        complete_from_ = next;
+    }
     auto news = false;
     auto present = std::set<std::string>{};
     for (auto const& each : newest)
@@ -73,6 +78,24 @@
     return listed;
 }
 
+auto record_cache::changed_since(std::uint64_t offset) const
+    -> std::optional<std::vector<keyed_record>>
+{
+    if (offset < complete_from_)
+    {
+        return std::nullopt;
+    }
+    auto listed = std::vector<keyed_record>{};
+    for (auto const& [key, held] : records_)
+    {
+        if (held.offset >= offset)
+        {
+            listed.push_back(held);
+        }
+    }
+    return listed;
+}
+
 auto record_cache::find(std::string const& key) const -> keyed_record const*
 {
     auto const found = records_.find(key);
--- a/test/fuzz/relay/peer_reports_survive_the_round_trip.cpp
+++ b/test/fuzz/relay/peer_reports_survive_the_round_trip.cpp
@@ -32,7 +32,7 @@
 {
     RC_ASSERT(!read_peer_report(bytes));
     auto const copy = read_copy(bytes);
-    RC_ASSERT(!copy || copy->records.empty());
+    RC_ASSERT(!copy || copy->page.records.empty());
 }
 
 RC_GTEST_PROP(peer_bytes, that_were_changed_are_read_or_dropped, ())
--- a/test/fuzz/relay/record_copies_never_go_back.cpp
+++ b/test/fuzz/relay/record_copies_never_go_back.cpp
@@ -64,10 +64,68 @@
         RC_ASSERT(cache.next() == furthest);
         RC_ASSERT(cache.newest() == newest_of(log, furthest));
     }
-    auto const copy = read_copy(write_copy(cache));
+    auto const copy = read_copy(write_copy(cache, 0));
     RC_ASSERT(copy.has_value());
-    RC_ASSERT(copy->records == cache.newest());
-    RC_ASSERT(copy->next == cache.next());
+    RC_ASSERT(copy->page.next == cache.next());
+    if (copy->is_whole)
+    {
+        RC_ASSERT(copy->page.records == cache.newest());
+    }
+}
+
+RC_GTEST_PROP(record_cache, brings_a_peer_up_to_its_own_point, ())
+{
+    auto log = std::vector<keyed_record>{};
+    auto const count = *rc::gen::inRange<std::size_t>(1, 30);
+    for (auto at = std::size_t{0}; at < count; ++at)
+    {
+        auto const key = std::string(1, *rc::gen::inRange<char>('a', 'e'));
+        auto const removes = *rc::gen::inRange(0, 3) == 0;
+        log.push_back(
+            {key, at,
+             removes ? std::nullopt : std::optional{"v" + std::to_string(at)}});
+    }
+    auto const behind = *rc::gen::inRange<std::size_t>(1, count + 1);
+    auto peer = record_cache{};
+    peer.replace(newest_of(log, behind), behind);
+    // The daemon that is asked began anywhere, and read or copied from there.
+    auto cache = record_cache{};
+    auto const began = *rc::gen::inRange<std::size_t>(1, count + 1);
+    cache.replace(newest_of(log, began), began);
+    auto const is_replaced = *rc::gen::arbitrary<bool>();
+    if (is_replaced)
+    {
+        cache.replace(newest_of(log, count), count);
+    }
+    else
+    {
+        cache.follow(
+            {log.begin() + static_cast<std::ptrdiff_t>(began), log.end()},
+            count);
+    }
+    auto const copy = read_copy(write_copy(cache, peer.next()));
+    RC_ASSERT(copy.has_value());
+    auto const complete_from = is_replaced ? count : began;
+    RC_ASSERT(copy->is_whole == (behind < complete_from));
+    if (copy->is_whole)
+    {
+        peer.replace(copy->page.records, copy->page.next);
+    }
+    else
+    {
+        peer.follow(copy->page.records, copy->page.next);
+    }
+    RC_ASSERT(peer.next() == count);
+    RC_ASSERT(peer.newest() == newest_of(log, count));
+}
+
+TEST(copy_path, is_read_as_it_was_written)
+{
+    auto const asked = copy_request{keyed_stream::replicas, 17};
+    EXPECT_EQ(read_copy_path(copy_path(asked)), asked);
+    EXPECT_FALSE(read_copy_path("/copies/replicas"));
+    EXPECT_FALSE(read_copy_path("/copies/replicas?from=x"));
+    EXPECT_FALSE(read_copy_path("/metrics"));
 }
 
 } // namespace
