Hold streams that would start late; report placements at once

The replicas' real memory was half empty (2 to 4 running streams), but prompts waiting there ranged from 0 to 24,000 tokens, and the first event takes about 0.37 s + 0.15 ms a token. Of the 13,000 tokens before a late stream 8,300 had been sent in the last 100 ms: 541 of 1,889 sends followed another at the same replica within 10 ms. Streams that wait for room all saw the same replica get room.

Change: a stream goes to the best replica only if it then starts in time, by the learned time a prompt token takes, or if the queue there is short, or if its caller would soon leave; else it looks again after 24 to 56 ms. A queue at a replica can't be reordered, a wait here can.

--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -94,6 +94,9 @@
         state_.load_changed = [this] {
             peers_.report_shortly(report_scope::zone);
         };
+        state_.work_placed = [this] {
+            peers_.report_now(report_scope::zone);
+        };
     }
 
     /// Opens the sockets and begins to learn.
--- a/packages/relay/include/sapphirereel/relay/relay_state.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_state.hpp
@@ -10,6 +10,7 @@
 #include "sapphirereel/relay/replica_table.hpp"
 #include "sapphirereel/relay/retry_share.hpp"
 #include "sapphirereel/relay/routing.hpp"
+#include "sapphirereel/relay/start_rule.hpp"
 #include "sapphirereel/relay/upstream_call.hpp"
 
 #include <functional>
@@ -63,6 +64,12 @@
         return retries.try_emplace(service, retry_terms).first->second;
     }
 
+    /// The pace at which a service's replicas read prompts.
+    auto pace_of(service_name const& service) -> prompt_pace&
+    {
+        return paces[service];
+    }
+
     asio::io_context& loop;
     /// The name under which peers know this daemon.
     daemon_id self;
@@ -71,6 +78,7 @@
     std::shared_ptr<routing_table const> table;
     retry_budget_terms retry_terms;
     std::map<service_name, retry_share> retries;
+    std::map<service_name, prompt_pace> paces;
     length_estimator output_lengths;
     std::mt19937_64 random;
     event_log log;
@@ -81,6 +89,10 @@
     /// Told when this daemon's count of the work on replicas has changed.
     std::function<void()> load_changed = [] {
     };
+    /// Told when this daemon has given a replica work. Peers that wait for room
+    /// must hear of it before they choose the same replica.
+    std::function<void()> work_placed = [] {
+    };
     /// The largest number of daemons that may share the retry budget.
     std::size_t daemons = 1;
     /// Requests under way.
--- a/packages/relay/include/sapphirereel/relay/replica_table.hpp
+++ b/packages/relay/include/sapphirereel/relay/replica_table.hpp
@@ -84,6 +84,8 @@
     /// Share of the target's memory that is in use by all counts, the request
     /// included; 0 for plain calls.
     double memory_share = 0;
+    /// Prompt tokens that the target reads first, by all counts.
+    double unread_tokens = 0;
     /// Replicas that could have been chosen.
     std::size_t candidates = 0;
 };
--- a/packages/relay/include/sapphirereel/relay/run_mover.hpp
+++ b/packages/relay/include/sapphirereel/relay/run_mover.hpp
@@ -158,7 +158,7 @@
         step_ = step::copying;
         destination_ = chosen->target;
         load_.place(destination_.id, {1, chosen->memory_tokens, 0, 0});
-        state_.load_changed();
+        state_.work_placed();
         order(false);
     }
 
--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -156,7 +156,12 @@
             return;
         }
         auto const waited = now - all_.began;
-        if (chosen->memory_share > most_memory_share(waited))
+        auto& pace = all_.state.pace_of(all_.service);
+        auto const tokens_ahead = chosen->unread_tokens + size_.prompt;
+        auto const prospect = start_prospect{
+            waited, all_.granted.route->target_latency,
+            pace.time_for(tokens_ahead), chosen->memory_share};
+        if (!may_start(prospect))
         {
             wait_for_room(waited);
             return;
@@ -166,7 +171,9 @@
             give_up(refusal_reason::retry_budget, 502, "no retry is left");
             return;
         }
-        log_sent(*chosen, now);
+        log_sent(*chosen, prospect);
+        sent_at_ = now;
+        tokens_ahead_ = tokens_ahead;
         ++all_.sends;
         ++all_.runs;
         send(chosen->target, *to, std::nullopt);
@@ -180,7 +187,9 @@
             give_up(refusal_reason::overload, 502, "no replica has room");
             return;
         }
-        room_timer_.expires_after(room_interval);
+        auto spread = std::uniform_real_distribution<double>{0.6, 1.4};
+        room_timer_.expires_after(std::chrono::duration_cast<duration>(
+            room_interval * spread(all_.state.random)));
         room_timer_.async_wait(
             [self = this->shared_from_this()](std::error_code error) {
                 if (!error && !self->all_.over)
@@ -190,7 +199,8 @@
             });
     }
 
-    auto log_sent(placement const& chosen, time_point now) -> void
+    auto log_sent(placement const& chosen, start_prospect const& prospect)
+        -> void
     {
         all_.state.log.request(
             all_.request.id, "sent",
@@ -204,8 +214,10 @@
              {"prompt_tokens", size_.prompt},
              {"expected_tokens", expected_output_},
              {"attempt", all_.sends + 1},
-             {"waited", now - all_.began},
-             {"left", all_.remaining(now)}});
+             {"unread_tokens", chosen.unread_tokens},
+             {"expected_start", prospect.expected_start},
+             {"waited", prospect.waited},
+             {"left", all_.remaining(all_.began + prospect.waited)}});
     }
 
     /// Sends the request, or its continuation, to a replica.
@@ -226,7 +238,7 @@
         load_.place(
             target.id, {1, memory, resumed ? 0 : size_.prompt,
                         backup_ ? 0 : held_tokens()});
-        all_.state.load_changed();
+        all_.state.work_placed();
         auto const backup_address =
             backup_ ? std::optional{host_and_port(*backup_)} : std::nullopt;
         auto const self = this->shared_from_this();
@@ -394,6 +406,8 @@
             all_.state.metrics.observe(
                 relay_timing::first_event, now - all_.began);
             first_event_after_ = now - all_.began;
+            all_.state.pace_of(all_.service)
+                .observed(tokens_ahead_, now - sent_at_);
             load_.prompt_read();
             all_.state.load_changed();
         }
@@ -767,6 +781,9 @@
     time_point last_event_at_{};
     duration first_event_after_{0};
     duration longest_pause_{0};
+    time_point sent_at_{};
+    /// Prompt tokens that the replica had to read before the first event.
+    double tokens_ahead_ = 0;
     std::uint64_t events_ = 0;
     /// Set while a stopped run waits for its last events.
     std::optional<stopped_run> stopped_;
--- a/packages/relay/include/sapphirereel/relay/stream_load.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_load.hpp
@@ -20,11 +20,6 @@
     generation_size const& asked, double expected, double output_tokens)
     -> double;
 
-/// The share of a replica's memory up to which a stream that has waited so long
-/// is sent there. It rises with the wait, so that large streams are not passed
-/// over for ever by small ones.
-auto most_memory_share(duration waited) -> double;
-
 /// Keeps the count of one stream at its replica up to date.
 class stream_load
 {
--- a/packages/relay/src/replica_table.cpp
+++ b/packages/relay/src/replica_table.cpp
@@ -333,7 +333,7 @@
         {
             best = placement{
                 each, score, engine ? memory_share(each, need, *engine) : 0,
-                candidates.size()};
+                load_of(each.id).unread_tokens, candidates.size()};
         }
     }
     return best;
--- a/packages/relay/src/stream_load.cpp
+++ b/packages/relay/src/stream_load.cpp
@@ -19,11 +19,6 @@
 /// different times, so that not all of it is ever needed at once.
 constexpr auto growth_share = 0.6;
 
-/// Share of a replica's memory that is filled without a wait, and what a second
-/// of waiting adds.
-constexpr auto least_full_share = 1.0;
-constexpr auto share_per_second = 0.1;
-
 /// Change of memory that is worth counting, in tokens.
 constexpr auto least_change = 64.0;
 
@@ -48,12 +43,6 @@
     return asked.prompt + output_tokens + growth_share * still_expected;
 }
 
-auto most_memory_share(duration waited) -> double
-{
-    return least_full_share +
-           share_per_second * std::chrono::duration<double>(waited).count();
-}
-
 stream_load::stream_load(replica_table& table)
     : table_(&table)
 {}
