Stop a run to move it only after a quick copy; split the stream's exchange

The last part of a run's memory waited behind the first copies of other runs on the same links.

Change: after a copy that took over 90 ms the run goes on and the rest is copied once more, until a copy is quick or 1.15 s have passed since the notice.

--- a/packages/relay/include/sapphirereel/relay/exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/exchange.hpp
@@ -45,6 +45,11 @@
     exchange(exchange const&) = delete;
     auto operator=(exchange const&) -> exchange& = delete;
 
+    /// Tells the owner when the caller has left and when the deadline passes.
+    auto watch(
+        std::function<void()> caller_gone,
+        std::function<void()> deadline_passed) -> void;
+
     /// Ends the request as not run.
     auto refuse(refusal_reason why) -> void;
 
--- a/packages/relay/include/sapphirereel/relay/plain_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/plain_exchange.hpp
@@ -47,14 +47,9 @@
     auto begin() -> void
     {
         auto const self = this->shared_from_this();
-        all_.caller->on_gone([self] { self->caller_gone(); });
-        all_.deadline_timer.expires_after(all_.remaining(all_.began));
-        all_.deadline_timer.async_wait([self](std::error_code error) {
-            if (!error)
-            {
-                self->deadline_passed();
-            }
-        });
+        all_.watch(
+            [self] { self->caller_gone(); },
+            [self] { self->deadline_passed(); });
         attempt();
     }
 
--- a/packages/relay/include/sapphirereel/relay/run_mover.hpp
+++ b/packages/relay/include/sapphirereel/relay/run_mover.hpp
@@ -31,6 +31,14 @@
 /// its size takes: the last part and the orders need some of it.
 inline constexpr auto move_time_margin = 1.2;
 
+/// Longest time of a copy after which the run is stopped: the rest is copied as
+/// fast only if no other copies wait for the links.
+inline constexpr auto quick_copy = duration{std::chrono::milliseconds{90}};
+
+/// Time from the notice from which a run is stopped however busy the links are,
+/// since its replica may end soon.
+inline constexpr auto latest_stop = duration{std::chrono::milliseconds{1'150}};
+
 /// Time that memory of a size takes on a replica's link.
 auto move_time(engine_traits const& traits, double tokens) -> duration;
 
@@ -165,11 +173,12 @@
     auto order(bool stop) -> void
     {
         ++orders_;
+        ordered_at_ = telemetry::monotonic_now();
         state_.log.request(
             request_id_, stop ? "stopped to move" : "copied to move",
             {{"replica", source_.id},
              {"to", destination_.id},
-             {"noticed", telemetry::monotonic_now() - noticed_at_}});
+             {"noticed", ordered_at_ - noticed_at_}});
         order_ = whole_call::start(
             state_.loop, state_.pool, *address_of(source_),
             Format::write_move(
@@ -213,8 +222,8 @@
         switch (read.outcome)
         {
         case move_outcome::copied:
-            step_ = step::stopping;
-            order(true);
+            step_ = should_stop() ? step::stopping : step::copying;
+            order(step_ == step::stopping);
             return;
         case move_outcome::no_room:
             told_.refused(destination_);
@@ -231,6 +240,15 @@
         }
     }
 
+    /// Whether the rest of the memory would be copied at once, or time is
+    /// short.
+    [[nodiscard]] auto should_stop() const -> bool
+    {
+        auto const now = telemetry::monotonic_now();
+        return now - ordered_at_ <= quick_copy ||
+               now - noticed_at_ >= latest_stop || orders_ >= most_move_orders;
+    }
+
     auto retry() -> void
     {
         if (orders_ >= most_move_orders)
@@ -274,6 +292,7 @@
     replica source_;
     replica destination_;
     time_point noticed_at_{};
+    time_point ordered_at_{};
     int orders_ = 0;
     step step_ = step::idle;
 };
--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -4,8 +4,10 @@
 #ifndef SAPPHIREREEL_RELAY_STREAM_EXCHANGE_HPP
 #define SAPPHIREREEL_RELAY_STREAM_EXCHANGE_HPP
 
+#include "sapphirereel/relay/event_sequence.hpp"
 #include "sapphirereel/relay/event_splitter.hpp"
 #include "sapphirereel/relay/exchange.hpp"
+#include "sapphirereel/relay/run_backup.hpp"
 #include "sapphirereel/relay/run_mover.hpp"
 #include "sapphirereel/relay/stream_load.hpp"
 
@@ -14,14 +16,6 @@
 /// Bytes that wait for a slow caller before its replica is no longer read.
 inline constexpr auto most_unsent_bytes = std::size_t{262'144};
 
-/// Output, in tokens, from which on a run's memory is copied to another replica
-/// as it grows, and the share of that replica's memory up to which it is.
-inline constexpr auto least_output_for_backup = 100.0;
-inline constexpr auto most_share_for_backup = 0.7;
-
-/// Mean share of the replicas' memory in use up to which runs are copied.
-inline constexpr auto most_mean_share_for_backup = 0.65;
-
 /// Time between two looks for a replica with room, and the longest wait.
 inline constexpr auto room_interval = duration{std::chrono::milliseconds{40}};
 inline constexpr auto longest_wait_for_room =
@@ -59,13 +53,13 @@
             target_left_ = is_continuing_;
             return 0;
         }
-        if (has_sound_backup())
+        if (backup_.is_sound())
         {
             // The run goes on from its copy when the replica ends it. That
             // needs nothing of the leaving replica's link.
             all_.state.log.request(
                 all_.request.id, "stays until its replica ends it",
-                {{"replica", target_.id}, {"copy_at", backup_->id}});
+                {{"replica", target_.id}, {"copy_at", backup_.holder()->id}});
             return 0;
         }
         auto const traits = all_.engine();
@@ -89,6 +83,7 @@
         grant granted)
         : all_(state, std::move(caller), std::move(request), std::move(granted))
         , load_(state.replicas)
+        , backup_(state.replicas)
         , mover_(state, all_.request.id, mover_callbacks())
         , room_timer_(state.loop)
         , size_(all_.request.generation.value_or(generation_size{}))
@@ -105,14 +100,9 @@
     auto begin() -> void
     {
         auto const self = this->shared_from_this();
-        all_.caller->on_gone([self] { self->caller_gone(); });
-        all_.deadline_timer.expires_after(all_.remaining(all_.began));
-        all_.deadline_timer.async_wait([self](std::error_code error) {
-            if (!error)
-            {
-                self->deadline_passed();
-            }
-        });
+        all_.watch(
+            [self] { self->caller_gone(); },
+            [self] { self->deadline_passed(); });
         attempt();
     }
 
@@ -135,7 +125,7 @@
     [[nodiscard]] auto output_tokens() const -> double
     {
         auto const traits = all_.engine();
-        return static_cast<double>(events_) *
+        return static_cast<double>(events_.count()) *
                (traits ? traits->tokens_per_event : 1);
     }
 
@@ -234,13 +224,14 @@
         splitter_ = {};
         head_.reset();
         source_ended_ = false;
-        choose_backup(now);
+        backup_.choose({need(), target_, expected_output_}, all_.engine(), now);
         load_.place(
             target.id, {1, memory, resumed ? 0 : size_.prompt,
-                        backup_ ? 0 : held_tokens()});
+                        backup_.holder() ? 0 : held_tokens()});
         all_.state.work_placed();
         auto const backup_address =
-            backup_ ? std::optional{host_and_port(*backup_)} : std::nullopt;
+            backup_.holder() ? std::optional{host_and_port(*backup_.holder())}
+                             : std::nullopt;
         auto const self = this->shared_from_this();
         call_ = all_.state.pool.start(
             to,
@@ -257,57 +248,12 @@
              }});
     }
 
-    /// Picks the replica that keeps a copy of the run's memory, if one has room
-    /// for it.
-    auto choose_backup(time_point now) -> void
-    {
-        backup_.reset();
-        backup_load_.release();
-        auto const traits = all_.engine();
-        auto const is_worth_it =
-            traits && traits->backups &&
-            expected_output_ >= least_output_for_backup &&
-            all_.state.replicas.mean_memory_share(all_.service, *traits) <=
-                most_mean_share_for_backup;
-        if (!is_worth_it)
-        {
-            return;
-        }
-        auto wanted = need();
-        wanted.excluded.insert(target_.id);
-        wanted.prompt_tokens = 0;
-        wanted.memory_zone = target_.zone;
-        auto const chosen = all_.state.replicas.choose(wanted, traits, now);
-        if (!chosen || chosen->memory_share > most_share_for_backup)
-        {
-            return;
-        }
-        backup_ = chosen->target;
-        backup_load_.place(backup_->id, {1, wanted.memory_tokens, 0, 0});
-    }
-
-    /// Whether a replica that stays keeps a copy of the run.
-    [[nodiscard]] auto has_sound_backup() const -> bool
-    {
-        auto const* const held =
-            backup_ ? all_.state.replicas.find(backup_->id) : nullptr;
-        return held != nullptr && !held->leaving && is_same_start(*held);
-    }
-
-    /// A replica that has started again under its id has lost the copy.
-    [[nodiscard]] auto is_same_start(replica const& held) const -> bool
-    {
-        return held.started_at_ms == backup_->started_at_ms;
-    }
-
     /// Goes on from the copy of a run whose replica is lost.
     auto continue_from_backup(time_point now) -> bool
     {
-        auto const* const held =
-            backup_ ? all_.state.replicas.find(backup_->id) : nullptr;
-        auto const to =
-            held && is_same_start(*held) ? address_of(*held) : std::nullopt;
-        if (!to || !begun_ || !last_event_)
+        auto const* const held = backup_.listed_holder();
+        auto const to = held ? address_of(*held) : std::nullopt;
+        if (!to || !events_.last_number())
         {
             return false;
         }
@@ -316,8 +262,8 @@
             all_.request.id, "goes on from its copy",
             {{"replica", target_.id},
              {"copy_at", next.id},
-             {"events", events_},
-             {"silent", now - last_event_at_}});
+             {"events", events_.count()},
+             {"silent", silence(now)}});
         all_.excluded.insert(target_.id);
         mover_.cancel();
         stopped_.reset();
@@ -326,7 +272,7 @@
             next, *to,
             continuation{
                 fmt::format("{}/{}", host_and_port(next), all_.request.id),
-                *last_event_});
+                *events_.last_number()});
         return true;
     }
 
@@ -385,42 +331,26 @@
 
     auto pass_on(raw_event const& event, time_point now) -> void
     {
-        auto const is_repeat =
-            event.number && last_event_ && *event.number <= *last_event_;
-        if (is_repeat)
+        auto const place = events_.place_of(event.number);
+        if (place == event_place::repeated)
         {
             return;
         }
-        auto const is_gap =
-            event.number && last_event_ && *event.number != *last_event_ + 1;
-        if (is_gap)
+        if (place == event_place::after_gap)
         {
             lose("an event is missing");
             return;
         }
-        if (!begun_)
+        if (place == event_place::first)
         {
-            begun_ = true;
-            all_.caller->begin_stream(
-                head_->status, head_->reason, Format::answer_fields(*head_));
-            all_.state.metrics.observe(
-                relay_timing::first_event, now - all_.began);
-            first_event_after_ = now - all_.began;
-            all_.state.pace_of(all_.service)
-                .observed(tokens_ahead_, now - sent_at_);
-            load_.prompt_read();
-            all_.state.load_changed();
+            begin_answer(now);
         }
         else
         {
-            all_.state.metrics.observe(
-                relay_timing::pause, now - last_event_at_);
-            longest_pause_ = std::max(longest_pause_, now - last_event_at_);
+            all_.state.metrics.observe(relay_timing::pause, silence(now));
         }
         note_resumed(now);
-        last_event_at_ = now;
-        last_event_ = event.number;
-        ++events_;
+        events_.passed(event.number, now - all_.began);
         all_.state.metrics.add(relay_counter::stream_events);
         load_.grow(
             counted_memory(size_, expected_output_, output_tokens()),
@@ -429,6 +359,24 @@
         limit_backlog();
     }
 
+    /// Passes the head of the answer on, and notes how long the prompt took.
+    auto begin_answer(time_point now) -> void
+    {
+        all_.caller->begin_stream(
+            head_->status, head_->reason, Format::answer_fields(*head_));
+        all_.state.metrics.observe(relay_timing::first_event, now - all_.began);
+        all_.state.pace_of(all_.service)
+            .observed(tokens_ahead_, now - sent_at_);
+        load_.prompt_read();
+        all_.state.load_changed();
+    }
+
+    /// Time since the last event that the caller has got.
+    [[nodiscard]] auto silence(time_point now) const -> duration
+    {
+        return now - all_.began - events_.last_after();
+    }
+
     /// Notes the pause that a move made, at the first event after it.
     auto note_resumed(time_point now) -> void
     {
@@ -437,13 +385,12 @@
             return;
         }
         all_.state.metrics.add(relay_counter::streams_moved);
-        all_.state.metrics.observe(
-            relay_timing::move_pause, now - last_event_at_);
+        all_.state.metrics.observe(relay_timing::move_pause, silence(now));
         all_.state.log.request(
             all_.request.id, "went on after a move",
             {{"replica", target_.id},
-             {"pause", now - last_event_at_},
-             {"events", events_}});
+             {"pause", silence(now)},
+             {"events", events_.count()}});
         if (target_left_)
         {
             target_left_ = false;
@@ -503,7 +450,7 @@
             retry_not_run(now);
             return;
         }
-        if (begun_)
+        if (events_.has_begun())
         {
             lose("the run was not continued");
             return;
@@ -560,7 +507,7 @@
             {{"replica", target_.id},
              {"why", why.detail},
              {"stage", static_cast<int>(why.stage)},
-             {"events", events_}});
+             {"events", events_.count()}});
         if (why.stage == call_stage::connecting)
         {
             all_.state.metrics.add(relay_counter::connections_failed);
@@ -626,8 +573,7 @@
         {
             return;
         }
-        auto const has_all =
-            last_event_ && *last_event_ >= stopped_->events_made;
+        auto const has_all = events_.last_number() >= stopped_->events_made;
         if (!source_ended_ && !has_all)
         {
             return;
@@ -642,7 +588,7 @@
             run.next, *address_of(run.next),
             continuation{
                 fmt::format("{}/{}", host_and_port(target_), run.handle),
-                last_event_.value_or(0)});
+                events_.last_number().value_or(0)});
     }
 
     /// The destination did not take the run. It has no other copy.
@@ -661,13 +607,13 @@
         mover_.cancel();
         unwatch();
         load_.release();
-        backup_load_.release();
+        backup_.release();
         all_.state.load_changed();
         if (call_)
         {
             call_->cancel();
         }
-        if (events_ > 0)
+        if (events_.has_begun())
         {
             all_.state.output_lengths.record(
                 kind(), {0, output_tokens(), is_complete_}, now);
@@ -684,11 +630,11 @@
             all_.request.id, "answered",
             {{"replica", target_.id},
              {"status", head_->status},
-             {"events", events_},
-             {"first_event_after", first_event_after_},
-             {"longest_pause", longest_pause_},
+             {"events", events_.count()},
+             {"first_event_after", events_.first_after()},
+             {"longest_pause", events_.longest_pause()},
              {"after", now - all_.began}});
-        if (!begun_)
+        if (!events_.has_begun())
         {
             all_.caller->begin_stream(
                 head_->status, head_->reason, Format::answer_fields(*head_));
@@ -699,7 +645,7 @@
     /// Ends a stream that cannot go on, so that it does not look complete.
     auto lose(std::string_view why) -> void
     {
-        if (!begun_)
+        if (!events_.has_begun())
         {
             give_up(refusal_reason::no_replica, 502, why);
             return;
@@ -712,7 +658,7 @@
             {{"replica", target_.id},
              {"why", std::string{why}},
              {"continuing", is_continuing_},
-             {"events", events_},
+             {"events", events_.count()},
              {"after", now - all_.began}});
         all_.caller->abort();
     }
@@ -740,7 +686,7 @@
         {
             return;
         }
-        if (begun_)
+        if (events_.has_begun())
         {
             lose("the deadline has passed");
             return;
@@ -760,31 +706,26 @@
         all_.state.log.request(
             all_.request.id, "caller left",
             {{"replica", target_.id},
-             {"events", events_},
+             {"events", events_.count()},
              {"after", now - all_.began}});
     }
 
     exchange all_;
     stream_load load_;
-    stream_load backup_load_{all_.state.replicas};
+    run_backup backup_;
+    event_sequence events_;
     run_mover<Format> mover_;
     asio::steady_timer room_timer_;
     generation_size size_;
     double expected_output_;
     std::shared_ptr<upstream_call> call_;
     replica target_;
-    std::optional<replica> backup_;
     std::optional<http::response_head> head_;
     event_splitter splitter_;
     std::string failure_body_;
-    std::optional<std::uint64_t> last_event_;
-    time_point last_event_at_{};
-    duration first_event_after_{0};
-    duration longest_pause_{0};
     time_point sent_at_{};
     /// Prompt tokens that the replica had to read before the first event.
     double tokens_ahead_ = 0;
-    std::uint64_t events_ = 0;
     /// Set while a stopped run waits for its last events.
     std::optional<stopped_run> stopped_;
     /// Whether the run was sent elsewhere and has made no event there yet.
@@ -792,7 +733,6 @@
     bool is_success_ = false;
     bool is_signed_ = false;
     bool not_run_ = false;
-    bool begun_ = false;
     bool source_ended_ = false;
     bool target_left_ = false;
     bool is_complete_ = false;
--- /dev/null
+++ b/packages/relay/src/event_sequence.cpp
@@ -0,0 +1,37 @@
+#include "sapphirereel/relay/event_sequence.hpp"
+
+#include <algorithm>
+
+namespace sapphirereel::relay {
+
+auto event_sequence::place_of(std::optional<std::uint64_t> number) const
+    -> event_place
+{
+    if (number && last_number_ && *number <= *last_number_)
+    {
+        return event_place::repeated;
+    }
+    if (number && last_number_ && *number != *last_number_ + 1)
+    {
+        return event_place::after_gap;
+    }
+    return has_begun() ? event_place::next : event_place::first;
+}
+
+auto event_sequence::passed(
+    std::optional<std::uint64_t> number, duration since_request) -> void
+{
+    if (has_begun())
+    {
+        longest_pause_ = std::max(longest_pause_, since_request - last_after_);
+    }
+    else
+    {
+        first_after_ = since_request;
+    }
+    last_after_ = since_request;
+    last_number_ = number;
+    ++count_;
+}
+
+} // namespace sapphirereel::relay
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -25,6 +25,21 @@
     --state.active;
 }
 
+auto exchange::watch(
+    std::function<void()> caller_gone, std::function<void()> deadline_passed)
+    -> void
+{
+    caller->on_gone(std::move(caller_gone));
+    deadline_timer.expires_after(remaining(began));
+    deadline_timer.async_wait(
+        [told = std::move(deadline_passed)](std::error_code error) {
+            if (!error)
+            {
+                told();
+            }
+        });
+}
+
 auto exchange::pick_service() -> service_name
 {
     auto const& shares = granted.route->services;
