Place streams over all zones: tell all of placements, compare 6 far replicas

A choice compared 12 replicas, those of the own zone first, so that others were only reached when fewer than 12 were left there, and their load was known by the regular report, 0.9 s old.

Change: a choice compares up to 12 replicas of the own zone and in all 18; a placement is told to all daemons at once.

Left: bytes between daemons. At 90 daemons all reports together are above the 10 KB/s a daemon of the target; docs/CAPACITY.md says so.

--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -95,7 +95,7 @@
             peers_.report_shortly(report_scope::zone);
         };
         state_.work_placed = [this] {
-            peers_.report_now(report_scope::zone);
+            peers_.report_now(report_scope::all);
         };
     }
 
--- a/packages/relay/src/replica_table.cpp
+++ b/packages/relay/src/replica_table.cpp
@@ -44,7 +44,11 @@
 
 /// Most replicas that one choice compares, those of the own zone first: many
 /// daemons that all compare all would send to the same empty one.
-constexpr auto most_compared = std::size_t{12};
+constexpr auto most_compared = std::size_t{18};
+
+/// Most of them that lie in the own zone, so that work also goes where other
+/// zones have more room.
+constexpr auto most_compared_near = std::ptrdiff_t{12};
 
 /// Span of the random part that parts equal scores.
 constexpr auto tie_span = 0.01;
@@ -302,17 +306,25 @@
             usable.push_back(each);
         }
     }
-    if (usable.size() > most_compared)
+    if (usable.size() <= most_compared)
     {
-        std::shuffle(usable.begin(), usable.end(), generator_);
-        // Those of the memory's zone first, where a run is to be moved.
-        auto const near = need.memory_zone.value_or(zone_);
-        std::stable_partition(
-            usable.begin(), usable.end(),
-            [&](replica const& each) { return each.zone == near; });
-        usable.resize(most_compared);
+        return usable;
     }
-    return usable;
+    std::shuffle(usable.begin(), usable.end(), generator_);
+    // Near the memory, where a run is to be moved.
+    auto const near = need.memory_zone.value_or(zone_);
+    auto const first_far = std::stable_partition(
+        usable.begin(), usable.end(),
+        [&](replica const& each) { return each.zone == near; });
+    auto const near_count = std::min<std::ptrdiff_t>(
+        first_far - usable.begin(), most_compared_near);
+    auto compared =
+        std::vector<replica>(usable.begin(), usable.begin() + near_count);
+    auto const far_count = std::min<std::ptrdiff_t>(
+        usable.end() - first_far,
+        static_cast<std::ptrdiff_t>(most_compared) - near_count);
+    compared.insert(compared.end(), first_far, first_far + far_count);
+    return compared;
 }
 
 auto replica_table::choose(
