A fault soak of the real programs: tools/soak SEED

tools/soak starts 6 sapphirereel_entry on loopback with a store, 10 replicas and 20 callers of its own. Faults, seeded, overlapping: daemons killed, paused, stopped as planned, hung up; links to the store cut both ways or one way, delayed, reset; the store silent, busy, reset, slow; replicas that hang, reset, fail, cut answers, crash, leave; configuration changes. Checked: runs of each id, refusals that are true, answers and streams as the replica gave them, customers, nothing unasked, configuration in 9 s, nothing at a leaving replica after 5 s, no process that ends by itself, recovery in 12 s. It ends only processes that it started.

Not done: a run that first fails with a fault put into the daemon.

--- a/packages/relay/include/sapphirereel/relay/upstream_call.hpp
+++ b/packages/relay/include/sapphirereel/relay/upstream_call.hpp
@@ -87,7 +87,7 @@
     auto end(connection_end how) -> void;
     auto deliver_body() -> void;
     auto complete() -> void;
-    auto fail(call_failure why) -> void;
+    auto fail(call_failure const& why) -> void;
 
     upstream_pool* pool_;
     asio::ip::tcp::endpoint to_;
--- a/packages/relay/src/upstream_call.cpp
+++ b/packages/relay/src/upstream_call.cpp
@@ -150,7 +150,7 @@
     }
 }
 
-auto upstream_call::fail(call_failure why) -> void
+auto upstream_call::fail(call_failure const& why) -> void
 {
     if (std::exchange(over_, true))
     {
--- /dev/null
+++ b/tools/soak.d/daemons.py
@@ -0,0 +1,93 @@
+"""The real programs, each a process on a loopback address of its own."""
+
+import os
+import signal
+import subprocess
+import time
+
+from proxy import Proxy
+
+CALLER_PORT, READY_PORT, DIRECTORY_PORT, PEER_PORT = 18740, 18749, 18746, 18720
+GRACE_S = 8
+
+
+class Daemon:
+    def __init__(self, program, folder, ip, zone, seeds):
+        self.name = f"entry-{ip}"
+        self.ip = ip
+        self.proxy = Proxy()
+        self.process = None
+        # When it was last disturbed, on the monotonic clock.
+        self.disturbed_at = time.monotonic()
+        # Whether its end was asked for.
+        self.may_end = False
+        self._program = program
+        self._folder = folder
+        self._zone = zone
+        self._seeds = seeds
+
+    async def open(self, store_address):
+        await self.proxy.open("127.0.0.1", store_address)
+        self.start()
+
+    @property
+    def callers(self):
+        return f"{self.ip}:{CALLER_PORT}"
+
+    @property
+    def directory(self):
+        return f"{self.ip}:{DIRECTORY_PORT}"
+
+    @property
+    def log_path(self):
+        return os.path.join(self._folder, f"{self.name}.log")
+
+    def start(self):
+        settings = {
+            "node-name": self.name, "ip": self.ip, "zone": self._zone,
+            "listen.front": self.callers,
+            "listen.ready": f"{self.ip}:{READY_PORT}",
+            "listen.directory": self.directory,
+            "internal-ports": f"{PEER_PORT},{PEER_PORT + 5}",
+            "seeds": ",".join(f"{ip}:1" for ip in self._seeds),
+            "platform.address": self.proxy.address,
+            "bounds.retry-budget-ratio": 0.2, "bounds.budget-slack": 60,
+            "bounds.budget-window-s": 10, "bounds.grace-s": GRACE_S,
+        }
+        path = os.path.join(self._folder, f"{self.name}.boot")
+        with open(path, "w") as file:
+            file.writelines(f"{name}={value}\n" for name, value in settings.items())
+        with open(self.log_path, "ab") as log:
+            self.process = subprocess.Popen(
+                [self._program, f"--settings={path}"], stdout=log, stderr=log
+            )
+        self.may_end = False
+        self.disturbed_at = time.monotonic()
+
+    def send(self, number):
+        """Signals this process, and no other."""
+        self.disturbed_at = time.monotonic()
+        if number in (signal.SIGKILL, signal.SIGTERM):
+            self.may_end = True
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def ended(self):
+        return self.process.poll() is not None
+
+    def touch(self):
+        self.disturbed_at = time.monotonic()
+
+    def is_calm(self, for_s):
+        return (
+            not self.ended()
+            and self.proxy.mode == "open"
+            and time.monotonic() - self.disturbed_at > for_s
+        )
+
+    def kill(self):
+        self.may_end = True
+        if not self.ended():
+            self.process.send_signal(signal.SIGCONT)
+            self.process.kill()
+            self.process.wait()
--- /dev/null
+++ b/tools/soak.d/proxy.py
@@ -0,0 +1,49 @@
+"""A loopback proxy that delays, resets, or silences one direction."""
+
+import asyncio
+
+
+class Proxy:
+    def __init__(self):
+        # open, delay, cut (both ways), cut_out (towards the target), cut_back.
+        self.mode = "open"
+        self.address = None
+        self._target = None
+        self._links = set()
+
+    async def open(self, ip, target):
+        server = await asyncio.start_server(self._serve, ip, 0)
+        self.address = f"{ip}:{server.sockets[0].getsockname()[1]}"
+        self._target = target
+
+    def reset(self):
+        """Resets every connection that stands."""
+        for writer in list(self._links):
+            writer.transport.abort()
+
+    async def _serve(self, reader, writer):
+        host, port = self._target.rsplit(":", 1)
+        try:
+            to_reader, to_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        self._links |= {writer, to_writer}
+        await asyncio.gather(
+            self._pass(reader, to_writer, "cut_out"),
+            self._pass(to_reader, writer, "cut_back"),
+        )
+        self._links -= {writer, to_writer}
+
+    async def _pass(self, reader, writer, silenced_by):
+        try:
+            while part := await reader.read(65_536):
+                if self.mode == "delay":
+                    await asyncio.sleep(0.08)
+                while self.mode in ("cut", silenced_by):
+                    await asyncio.sleep(0.05)
+                writer.write(part)
+                await writer.drain()
+            writer.close()
+        except (ConnectionError, RuntimeError):
+            writer.transport.abort()
--- /dev/null
+++ b/tools/soak.d/soak.py
@@ -0,0 +1,309 @@
+"""A seeded soak of the real programs: a small deployment on loopback, faults from
+outside the processes, and the promises checked from what callers and replicas saw.
+"""
+
+import argparse
+import asyncio
+import os
+import random
+import signal
+import sys
+import tempfile
+import time
+
+import callers
+import http11
+import promises
+import store as platform
+from daemons import GRACE_S, Daemon
+from replicas import Replica
+from store import Store
+
+ZONES = ("z1", "z2", "z3")
+DAEMONS = 6
+REPLICAS = {"plain": 5, "engine": 5}
+CALLERS = 20
+WARM_UP_S = 3.0
+REST_S = 4.0
+# Time without a disturbance from which a daemon's promises with a bound hold.
+CALM_S = 4.0
+CUSTOMERS = {"key-a": "a", "key-b": "b"}
+
+
+class Soak:
+    def __init__(self, seed, program, folder):
+        self.random = random.Random(seed)
+        self.seed = seed
+        self.store = Store()
+        self.ledger = {}
+        self.replicas = []
+        self.gone = []
+        self.findings = []
+        self.version = 0
+        self.keys = dict(CUSTOMERS)
+        self.pending = set()
+        # Addresses of this soak alone, so that two never meet.
+        base = f"127.{100 + os.getpid() // 250 % 100}.{os.getpid() % 250}"
+        ips = [f"{base}.{number}" for number in range(1, DAEMONS + 1)]
+        self.replica_ip = f"{base}.200"
+        self.daemons = [
+            Daemon(program, folder, ip, ZONES[at % len(ZONES)], ips[:3])
+            for at, ip in enumerate(ips)
+        ]
+
+    def note(self, what):
+        print(f"{time.monotonic() - self.began:7.2f} s  {what}", flush=True)
+
+    def all_calm(self):
+        return self.store.is_calm(CALM_S) and all(
+            each.is_calm(CALM_S) for each in self.daemons
+        )
+
+    # The deployment.
+
+    async def open(self):
+        self.began = time.monotonic()
+        await self.store.open("127.0.0.1")
+        await self.publish()
+        for service, count in REPLICAS.items():
+            for at in range(count):
+                await self.add_replica(service, ZONES[at % len(ZONES)])
+        for each in self.daemons:
+            await each.open(self.store.address)
+
+    async def add_replica(self, service, zone):
+        made = Replica(service, zone, self.ledger)
+        made.all_calm = self.all_calm
+        await made.open(self.replica_ip, self.store)
+        self.replicas.append(made)
+
+    async def publish(self):
+        """A next version, with a route that only it has."""
+        self.version += 1
+
+        def route(name, kind, service, **more):
+            return {
+                "name": name, "host": "h", "path-prefix": f"/{name}/",
+                "kind": kind, "service": service, "timeout-ms": 5_000,
+                "target-latency-ms": 500, **more,
+            }
+
+        whole = {
+            "version": self.version,
+            "routes": [
+                route("safe", "safe", "plain", **{"max-attempts": 2}),
+                route("unsafe", "unsafe", "plain"),
+                route("stream", "streaming", "engine"),
+                route(f"v{self.version}", "safe", "plain"),
+            ],
+            "services": [
+                {"name": "plain"},
+                {"name": "engine", "engine": {"kv-cache-tokens": 100_000}},
+            ],
+            "tenants": [
+                {"name": name, "api-keys": [key]} for key, name in self.keys.items()
+            ],
+        }
+        await self.store.write(platform.CONFIGURATION, "config", whole)
+        return self.version
+
+    # Faults. Each undoes itself; several overlap.
+
+    async def kill(self, daemon):
+        daemon.send(signal.SIGKILL)
+        await asyncio.sleep(self.random.uniform(0.3, 2))
+        daemon.start()
+
+    async def pause(self, daemon):
+        daemon.send(signal.SIGSTOP)
+        await asyncio.sleep(self.random.uniform(0.3, 3))
+        daemon.send(signal.SIGCONT)
+
+    async def stop(self, daemon):
+        daemon.send(signal.SIGTERM)
+        end = time.monotonic() + GRACE_S
+        while not daemon.ended() and time.monotonic() < end:
+            await asyncio.sleep(0.1)
+        if not daemon.ended():
+            self.findings.append(f"{daemon.name} did not stop in {GRACE_S} s")
+            daemon.kill()
+        daemon.start()
+
+    async def hang_up(self, daemon):
+        daemon.send(signal.SIGHUP)
+        await asyncio.sleep(0.2)
+
+    async def cut_store(self, daemon):
+        daemon.touch()
+        daemon.proxy.mode = self.random.choice(["cut", "cut_out", "cut_back", "delay"])
+        await asyncio.sleep(self.random.uniform(0.5, 4))
+        daemon.proxy.mode = "open"
+        daemon.proxy.reset()
+        daemon.touch()
+
+    async def disturb_store(self):
+        self.store.set_mode(self.random.choice(["silent", "busy", "reset", "slow"]))
+        await asyncio.sleep(self.random.uniform(0.5, 4))
+        self.store.set_mode("up")
+
+    async def disturb_replica(self, replica):
+        replica.mode = self.random.choice(["hang", "reset", "error", "garble"])
+        await asyncio.sleep(self.random.uniform(0.3, 2))
+        replica.mode = "well"
+
+    async def cut_replica(self, replica):
+        replica.proxy.mode = self.random.choice(["cut", "cut_out", "cut_back", "delay"])
+        await asyncio.sleep(self.random.uniform(0.3, 2))
+        replica.proxy.mode = "open"
+        replica.proxy.reset()
+
+    async def crash(self, replica):
+        self.replicas.remove(replica)
+        self.gone.append(replica)
+        replica.crash()
+        await asyncio.sleep(self.random.uniform(0.5, 3))
+        await self.store.write(platform.REPLICAS, replica.id, None)
+        await self.add_replica(replica.service, replica.zone)
+
+    async def leave(self, replica):
+        self.replicas.remove(replica)
+        self.gone.append(replica)
+        await self.add_replica(replica.service, replica.zone)
+        await replica.register(self.store, "draining")
+        await asyncio.sleep(promises.DRAIN_BOUND_S + 2)
+        await self.store.write(platform.REPLICAS, replica.id, None)
+        replica.crash()
+
+    async def change(self):
+        """Changes the configuration and asks each calm daemon for the new route."""
+        version = await self.publish()
+        await asyncio.sleep(promises.CONFIGURATION_BOUND_S)
+        if version != self.version or not self.store.is_calm(
+            promises.CONFIGURATION_BOUND_S
+        ):
+            return
+        for daemon in self.daemons:
+            if not daemon.is_calm(promises.CONFIGURATION_BOUND_S):
+                continue
+            got = await callers.ask(
+                daemon.callers, "safe", "key-a", f"probe-{version}-{daemon.name}",
+                f"/v{version}/a",
+            )
+            self.ledger.pop(got.id, None)
+            if got.status == 404:
+                self.findings.append(
+                    f"{daemon.name} has no version {version} "
+                    f"{promises.CONFIGURATION_BOUND_S} s after it was accepted"
+                )
+
+    def next_fault(self):
+        daemon = self.random.choice(self.daemons)
+        replica = self.random.choice(self.replicas)
+        is_free = daemon.is_calm(0) and not getattr(daemon, "busy", False)
+        kinds = [
+            ("disturb replica", replica.id, lambda: self.disturb_replica(replica)),
+            ("cut replica", replica.id, lambda: self.cut_replica(replica)),
+            ("crash", replica.id, lambda: self.crash(replica)),
+            ("leave", replica.id, lambda: self.leave(replica)),
+            ("disturb store", "", self.disturb_store),
+            ("change", "", self.change),
+        ]
+        if is_free:
+            kinds += [
+                ("kill", daemon.name, lambda: self.alone(daemon, self.kill)),
+                ("pause", daemon.name, lambda: self.alone(daemon, self.pause)),
+                ("stop", daemon.name, lambda: self.alone(daemon, self.stop)),
+                ("hang up", daemon.name, lambda: self.alone(daemon, self.hang_up)),
+                ("cut store", daemon.name, lambda: self.alone(daemon, self.cut_store)),
+            ]
+        return self.random.choice(kinds)
+
+    async def alone(self, daemon, fault):
+        """One fault of a daemon's process at a time; links may fail meanwhile."""
+        daemon.busy = True
+        try:
+            await fault(daemon)
+        finally:
+            daemon.busy = False
+
+    async def disturb(self, seconds):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            name, which, begin = self.next_fault()
+            self.note(f"{name} {which}")
+            task = asyncio.create_task(begin())
+            self.pending.add(task)
+            await asyncio.sleep(self.random.uniform(0.1, 1.2))
+        await asyncio.gather(*self.pending)
+
+    # The run.
+
+    async def traffic(self, seconds, first):
+        directories = [each.directory for each in self.daemons]
+        made = [
+            callers.Caller(first + at, self.seed, directories, list(CUSTOMERS))
+            for at in range(CALLERS)
+        ]
+        end = time.monotonic() + seconds
+        await asyncio.gather(*(each.run(end) for each in made))
+        return [got for each in made for got in each.outcomes]
+
+    async def run(self, seconds):
+        await self.open()
+        await asyncio.sleep(WARM_UP_S)
+        disturbed = asyncio.create_task(self.disturb(seconds))
+        outcomes = await self.traffic(seconds, 0)
+        await disturbed
+        await asyncio.sleep(promises.RECOVERY_BOUND_S)
+        at_rest = await self.traffic(REST_S, CALLERS)
+        self.check(outcomes + at_rest, at_rest)
+        # Connections that still stand are cut off with the loop, which is no error.
+        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+        return outcomes + at_rest
+
+    def check(self, outcomes, at_rest):
+        self.findings += promises.runs_too_often(outcomes, self.ledger)
+        self.findings += promises.refused_and_run(outcomes, self.ledger)
+        self.findings += promises.wrong_answers(outcomes, self.ledger)
+        self.findings += promises.wrong_customers(outcomes, self.ledger, CUSTOMERS)
+        self.findings += promises.unasked_runs(outcomes, self.ledger)
+        self.findings += promises.late_at_leaving(self.replicas + self.gone)
+        self.findings += promises.ended_unasked(self.daemons)
+        self.findings += promises.not_recovered(at_rest)
+
+    def close(self):
+        for each in self.daemons:
+            each.kill()
+
+
+def summary(outcomes):
+    counts = {}
+    for got in outcomes:
+        word = "whole" if got.status == 200 and got.whole else str(got.status)
+        counts[word] = counts.get(word, 0) + 1
+    return ", ".join(f"{word} {count}" for word, count in sorted(counts.items()))
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("seed", type=int)
+    parser.add_argument("--seconds", type=float, default=20, help="time with faults")
+    parser.add_argument("--program", default="build/plain/bin/sapphirereel_entry")
+    parser.add_argument("--logs", help="folder for the daemons' logs; kept")
+    options = parser.parse_args()
+    folder = options.logs or tempfile.mkdtemp(prefix="sapphirereel-soak-")
+    os.makedirs(folder, exist_ok=True)
+    soak = Soak(options.seed, options.program, folder)
+    try:
+        outcomes = asyncio.run(soak.run(options.seconds))
+    finally:
+        soak.close()
+    print(f"seed {options.seed}: {len(outcomes)} requests: {summary(outcomes)}")
+    for finding in soak.findings:
+        print(f"broken: {finding}")
+    print(f"logs: {folder}")
+    return 1 if soak.findings else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
