Refuse HTTP messages that never end

Cause: a server in trouble may send bytes without end until its caller closes. The response parser bounded heads only: a chunk extension or trailers without an end line grew its buffer for ever, and interim responses were passed over without limit. The request parser had the same gap in a chunked body. Change: the parsers refuse a line or block of lines that exceeds a fixed size without ending (64 KiB of a response, 16 KiB of a request's body framing), and a response after 16 interim ones.

--- a/packages/http/include/sapphirereel/http/request_parser.hpp
+++ b/packages/http/include/sapphirereel/http/request_parser.hpp
@@ -24,6 +24,10 @@
     auto operator<=>(message_limits const&) const = default;
 };
 
+/// Most bytes of a body's framing, that is, of a chunk's size line or of the
+/// trailers, that may wait for their end.
+inline constexpr auto max_body_framing_bytes = std::size_t{16'384};
+
 /// Why bytes are no request that can be served. The connection has to be
 /// closed after the answer.
 struct request_error
--- a/packages/http/include/sapphirereel/http/response_parser.hpp
+++ b/packages/http/include/sapphirereel/http/response_parser.hpp
@@ -6,6 +6,7 @@
 
 #include "sapphirereel/http/message.hpp"
 
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -14,7 +15,16 @@
 
 namespace sapphirereel::http {
 
-/// Parses one response. Interim (1xx) responses are passed over.
+/// Most bytes that a response may take up without completing its head, a
+/// chunk's size line or its trailers.
+inline constexpr auto max_unparsed_response_bytes = std::size_t{65'536};
+
+/// Most interim (1xx) responses before a final one.
+inline constexpr auto max_interim_responses = 16U;
+
+/// Parses one response. Interim (1xx) responses are passed over. Bytes that
+/// never end are refused within the limits above; the body is limited by
+/// whoever takes it.
 class response_parser
 {
 public:
--- a/packages/http/src/request_parser.cpp
+++ b/packages/http/src/request_parser.cpp
@@ -182,6 +182,13 @@
     }
     if (!now.parser->is_done())
     {
+        // The parser takes bytes of a body at once, so that what is left is a
+        // size line or a trailer that has not ended.
+        if (now.buffer.size() > max_body_framing_bytes)
+        {
+            return tl::unexpected(request_error{
+                400, "the body holds a chunk header or trailer without end"});
+        }
         return std::nullopt;
     }
     now.head.body = std::move(now.parser->get().body());
--- a/packages/http/src/response_parser.cpp
+++ b/packages/http/src/response_parser.cpp
@@ -12,9 +12,6 @@
 
 using beast_parser = beast::response_parser<beast::string_body>;
 
-/// Largest head of a response, in bytes.
-constexpr auto head_limit = std::uint32_t{65'536};
-
 auto read_head(beast_parser const& parser) -> response_head
 {
     auto head = response_head{};
@@ -38,11 +35,12 @@
     std::string buffer;
     std::optional<beast_parser> parser;
     std::optional<response_head> head;
+    unsigned interim_responses = 0;
 
     auto restart() -> void
     {
         parser.emplace();
-        parser->header_limit(head_limit);
+        parser->header_limit(max_unparsed_response_bytes);
         parser->body_limit(std::numeric_limits<std::uint64_t>::max());
         parser->eager(true);
         parser->skip(to_head);
@@ -80,6 +78,11 @@
             auto const status = now.parser->get().result_int();
             if (status < 200 && now.parser->is_done())
             {
+                if (++now.interim_responses > max_interim_responses)
+                {
+                    return tl::unexpected(
+                        std::string{"too many interim responses"});
+                }
                 now.restart();
                 continue;
             }
@@ -90,6 +93,15 @@
             break;
         }
     }
+    // The parser takes bytes of a body at once, so that what is left belongs to
+    // a line or a block of lines that has not ended.
+    auto const has_no_end = !now.parser->is_done() &&
+                            now.buffer.size() > max_unparsed_response_bytes;
+    if (has_no_end)
+    {
+        return tl::unexpected(
+            std::string{"the response holds a line that does not end"});
+    }
     return {};
 }
 
