List at most 64 addresses, those of the caller's zone where there are enough

Cause: a daemon listed every ready daemon in the order of addresses; callers use 64 at most, so that in a larger fleet the daemons listed last got no work and those of the first zone all of it. Change: address_selection gives callers the daemons of their zone if there are 8 or more, cut by a hash of the address that all daemons agree on. Measured: callers_are_spread_over_daemons passes.

--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -4,6 +4,7 @@
 #ifndef SAPPHIREREEL_RELAY_RELAY_NODE_HPP
 #define SAPPHIREREEL_RELAY_RELAY_NODE_HPP
 
+#include "sapphirereel/relay/address_selection.hpp"
 #include "sapphirereel/relay/buffered_exchange.hpp"
 #include "sapphirereel/relay/cluster_sync.hpp"
 #include "sapphirereel/relay/listener.hpp"
@@ -151,27 +152,27 @@
         return cluster_sync_.is_log_lost();
     }
 
-    /// Caller addresses of all daemons that accept callers; this daemon's own
-    /// if there are none.
+    /// Addresses for callers of this daemon's zone; this daemon's own if no
+    /// daemon accepts callers.
     [[nodiscard]] auto caller_addresses() const -> std::vector<std::string>
     {
-        auto addresses = std::vector<std::string>{};
+        auto ready = std::vector<ready_daemon>{};
         if (is_ready())
         {
-            addresses.push_back(settings_.callers.text());
+            ready.push_back({settings_.callers.text(), settings_.zone});
         }
         for (auto const& peer : peers_.alive(telemetry::monotonic_now()))
         {
             if (peer.accepts_callers)
             {
-                addresses.push_back(peer.caller_address);
+                ready.push_back({peer.caller_address, peer.zone});
             }
         }
-        if (addresses.empty())
+        if (ready.empty())
         {
-            addresses.push_back(settings_.callers.text());
+            ready.push_back({settings_.callers.text(), settings_.zone});
         }
-        return addresses;
+        return select_addresses(std::move(ready), settings_.zone);
     }
 
     /// Begins a planned stop; `done` is called when the process may exit.
