Encode peer reports with msgpack-cxx

Change: peer_report packs and unpacks its fields with msgpack-cxx, with bounds on lists, texts and depth. The bytes on the wire are MessagePack as before, so that reports of the previous version are still read.

--- a/packages/relay/src/peer_report.cpp
+++ b/packages/relay/src/peer_report.cpp
@@ -1,13 +1,22 @@
 #include "sapphirereel/relay/peer_report.hpp"
 
-#include "sapphirereel/codec/bounded_json.hpp"
-
-#include <nlohmann/json.hpp>
+#include <array>
+#include <chrono>
+#include <limits>
+#include <msgpack.hpp>
+#include <utility>
 
 namespace sapphirereel::relay {
 namespace {
 
-using nlohmann::json;
+using packer = msgpack::packer<msgpack::sbuffer>;
+using std::chrono::milliseconds;
+
+/// Bounds of a report: elements of one list, bytes of one text, and levels of
+/// lists within lists.
+constexpr auto max_elements = std::size_t{4'096};
+constexpr auto max_text_bytes = std::size_t{4'096};
+constexpr auto max_depth = std::size_t{8};
 
 /// Positions of the fields in the datagram.
 enum field_position : std::size_t
@@ -37,176 +46,295 @@
     field_count
 };
 
-auto write_load(load_report const& loads) -> json
+auto pack_array(packer& to, std::size_t elements) -> void
+{
+    to.pack_array(static_cast<std::uint32_t>(elements));
+}
+
+auto write_load(packer& to, load_report const& loads) -> void
 {
-    auto list = json::array();
+    pack_array(to, loads.size());
     for (auto const& [id, each] : loads)
     {
-        list.push_back(json::array(
-            {id.str(), each.requests,
-             static_cast<std::uint64_t>(each.memory_tokens),
-             static_cast<std::uint64_t>(each.pending_prefill_tokens),
-             static_cast<std::uint64_t>(each.movable_tokens)}));
+        pack_array(to, 5);
+        to.pack(id.str());
+        to.pack(each.requests);
+        to.pack(static_cast<std::uint64_t>(each.memory_tokens));
+        to.pack(static_cast<std::uint64_t>(each.pending_prefill_tokens));
+        to.pack(static_cast<std::uint64_t>(each.movable_tokens));
     }
-    return list;
 }
 
-auto read_load(json const& from) -> load_report
+auto write_leaving(
+    packer& to, std::vector<leaving_replica> const& leaving, bool is_previous)
+    -> void
 {
-    auto loads = load_report{};
-    for (auto const& each : from)
+    pack_array(to, leaving.size());
+    for (auto const& each : leaving)
     {
-        loads[endpoint_id{each.at(0).get<std::string>()}] = {
-            each.at(1).get<std::uint32_t>(), each.at(2).get<double>(),
-            each.at(3).get<double>(), each.at(4).get<double>()};
+        pack_array(to, is_previous ? 2 : 6);
+        to.pack(each.id.str());
+        to.pack(each.position.offset);
+        if (!is_previous)
+        {
+            to.pack(each.position.era);
+            to.pack(each.started_at_ms);
+            to.pack(each.renewal);
+            to.pack(each.announced);
+        }
     }
-    return loads;
 }
 
-auto write_leaving(leaving_replica const& which, bool is_previous) -> json
+auto write_digests(packer& to, std::vector<digest> const& digests) -> void
 {
-    auto fields = json::array({which.id.str(), which.position.offset});
-    if (!is_previous)
+    pack_array(to, digests.size());
+    for (auto const& each : digests)
     {
-        fields.push_back(which.position.era);
-        fields.push_back(which.started_at_ms);
-        fields.push_back(which.renewal);
-        fields.push_back(which.announced);
+        to.pack(each.str());
     }
-    return fields;
 }
 
-auto read_leaving(json const& from, bool is_previous) -> leaving_replica
+auto write_crashes(packer& to, crash_reports const& reports) -> void
 {
-    auto which = leaving_replica{
-        endpoint_id{from.at(0).get<std::string>()},
-        from.at(1).get<std::uint64_t>()};
-    if (!is_previous)
+    pack_array(to, reports.deaths.size());
+    for (auto const& each : reports.deaths)
     {
-        which.position.era = from.at(2).get<std::uint64_t>();
-        which.started_at_ms = from.at(3).get<std::uint64_t>();
-        which.renewal = from.at(4).get<std::uint64_t>();
-        which.announced = from.at(5).get<bool>();
+        pack_array(to, 2);
+        to.pack(each.death.str());
+        write_digests(to, each.in_flight);
+    }
+    pack_array(to, reports.cleared.size());
+    for (auto const& each : reports.cleared)
+    {
+        pack_array(to, 2);
+        to.pack(each.content.str());
+        write_digests(to, each.deaths);
     }
-    return which;
 }
 
 /// The previous version lists addresses, the present one lists of a zone and
 /// its addresses.
 auto write_addresses(
-    std::vector<known_address> const& addresses, bool is_previous) -> json
+    packer& to, std::vector<known_address> const& addresses, bool is_previous)
+    -> void
 {
-    auto list = json::array();
-    auto zones = std::map<zone_name, json>{};
+    auto zones = std::map<zone_name, std::vector<std::string>>{};
     for (auto const& each : addresses)
     {
-        if (is_previous)
+        zones[is_previous ? zone_name{} : each.zone].push_back(each.ip);
+    }
+    if (is_previous)
+    {
+        to.pack(zones[zone_name{}]);
+        return;
+    }
+    pack_array(to, zones.size());
+    for (auto const& [zone, ips] : zones)
+    {
+        pack_array(to, ips.size() + 1);
+        to.pack(zone.str());
+        for (auto const& ip : ips)
         {
-            list.push_back(each.ip);
-            continue;
+            to.pack(ip);
         }
-        auto const [zone, is_new] =
-            zones.try_emplace(each.zone, json::array({each.zone.str()}));
-        zone->second.push_back(each.ip);
     }
-    for (auto& [zone, ips] : zones)
+}
+
+/// Writes the fields that the previous version does not have.
+auto write_present_fields(packer& to, peer_report const& report) -> void
+{
+    to.pack(report.configuration_next.era);
+    to.pack(report.replicas_next.era);
+    to.pack(
+        std::chrono::duration_cast<milliseconds>(report.lapse_grace).count());
+    to.pack(report.wants_reply);
+    if (report.zone_load)
+    {
+        write_load(to, *report.zone_load);
+    }
+    else
     {
-        list.push_back(std::move(ips));
+        to.pack_nil();
     }
-    return list;
 }
 
-auto read_addresses(json const& from, bool is_previous)
-    -> std::vector<known_address>
+/// A list of a report. Reading an element that is missing or of another type
+/// throws `msgpack::type_error`.
+class list_reader
 {
-    auto addresses = std::vector<known_address>{};
-    for (auto const& each : from)
+public:
+    explicit list_reader(msgpack::object const& from)
+        : list_(&from.via.array)
     {
-        if (is_previous)
+        if (from.type != msgpack::type::ARRAY)
         {
-            addresses.push_back({each.get<std::string>(), zone_name{}});
-            continue;
+            throw msgpack::type_error{};
         }
-        auto const zone = zone_name{each.at(0).get<std::string>()};
-        for (auto at = std::size_t{1}; at < each.size(); ++at)
+    }
+
+    [[nodiscard]] auto size() const -> std::size_t
+    {
+        return list_->size;
+    }
+
+    [[nodiscard]] auto at(std::size_t position) const -> msgpack::object const&
+    {
+        if (position >= list_->size)
         {
-            addresses.push_back({each.at(at).get<std::string>(), zone});
+            throw msgpack::type_error{};
         }
+        return list_->ptr[position];
     }
-    return addresses;
-}
 
-auto write_digests(std::vector<digest> const& digests) -> json
-{
-    auto list = json::array();
-    for (auto const& each : digests)
+    template <class Value>
+    [[nodiscard]] auto get(std::size_t position) const -> Value
     {
-        list.push_back(each.str());
+        return at(position).as<Value>();
+    }
+
+    [[nodiscard]] auto begin() const -> msgpack::object const*
+    {
+        return list_->ptr;
+    }
+
+    [[nodiscard]] auto end() const -> msgpack::object const*
+    {
+        return list_->ptr + list_->size;
     }
-    return list;
-}
 
-auto read_digests(json const& from) -> std::vector<digest>
+private:
+    msgpack::object_array const* list_;
+};
+
+auto read_load(msgpack::object const& from) -> load_report
 {
-    auto digests = std::vector<digest>{};
-    for (auto const& each : from)
+    auto loads = load_report{};
+    for (auto const& each : list_reader{from})
     {
-        digests.emplace_back(each.get<std::string>());
+        auto const fields = list_reader{each};
+        loads[endpoint_id{fields.get<std::string>(0)}] = {
+            fields.get<std::uint32_t>(1), fields.get<double>(2),
+            fields.get<double>(3), fields.get<double>(4)};
     }
-    return digests;
+    return loads;
 }
 
-auto write_crashes(std::vector<crash_message> const& deaths) -> json
+auto read_leaving(msgpack::object const& from, bool is_previous)
+    -> leaving_replica
 {
-    auto list = json::array();
-    for (auto const& each : deaths)
+    auto const fields = list_reader{from};
+    auto which = leaving_replica{
+        endpoint_id{fields.get<std::string>(0)}, fields.get<std::uint64_t>(1)};
+    if (!is_previous)
     {
-        list.push_back(
-            json::array({each.death.str(), write_digests(each.in_flight)}));
+        which.position.era = fields.get<std::uint64_t>(2);
+        which.started_at_ms = fields.get<std::uint64_t>(3);
+        which.renewal = fields.get<std::uint64_t>(4);
+        which.announced = fields.get<bool>(5);
     }
-    return list;
+    return which;
 }
 
-auto write_cleared(std::vector<cleared_message> const& cleared) -> json
+auto read_digests(msgpack::object const& from) -> std::vector<digest>
 {
-    auto list = json::array();
-    for (auto const& each : cleared)
+    auto digests = std::vector<digest>{};
+    for (auto const& each : list_reader{from})
     {
-        list.push_back(
-            json::array({each.content.str(), write_digests(each.deaths)}));
+        digests.emplace_back(each.as<std::string>());
     }
-    return list;
+    return digests;
 }
 
-auto read_crashes(json const& deaths, json const& cleared) -> crash_reports
+auto read_crashes(msgpack::object const& deaths, msgpack::object const& cleared)
+    -> crash_reports
 {
     auto reports = crash_reports{};
-    for (auto const& each : deaths)
+    for (auto const& each : list_reader{deaths})
     {
+        auto const fields = list_reader{each};
         reports.deaths.push_back(
-            {digest{each.at(0).get<std::string>()}, read_digests(each.at(1))});
+            {digest{fields.get<std::string>(0)}, read_digests(fields.at(1))});
     }
-    for (auto const& each : cleared)
+    for (auto const& each : list_reader{cleared})
     {
+        auto const fields = list_reader{each};
         reports.cleared.push_back(
-            {digest{each.at(0).get<std::string>()}, read_digests(each.at(1))});
+            {digest{fields.get<std::string>(0)}, read_digests(fields.at(1))});
     }
     return reports;
 }
 
+auto read_addresses(msgpack::object const& from, bool is_previous)
+    -> std::vector<known_address>
+{
+    auto addresses = std::vector<known_address>{};
+    for (auto const& each : list_reader{from})
+    {
+        if (is_previous)
+        {
+            addresses.push_back({each.as<std::string>(), zone_name{}});
+            continue;
+        }
+        auto const fields = list_reader{each};
+        auto const zone = zone_name{fields.get<std::string>(0)};
+        for (auto at = std::size_t{1}; at < fields.size(); ++at)
+        {
+            addresses.push_back({fields.get<std::string>(at), zone});
+        }
+    }
+    return addresses;
+}
+
 /// Reads the fields that the previous version does not have.
-auto read_present_fields(json const& fields, peer_report& into) -> void
+auto read_present_fields(list_reader const& fields, peer_report& into) -> void
 {
     into.configuration_next.era =
-        fields[configuration_era_at].get<std::uint64_t>();
-    into.replicas_next.era = fields[replicas_era_at].get<std::uint64_t>();
-    into.lapse_grace =
-        std::chrono::milliseconds{fields[lapse_grace_at].get<std::uint32_t>()};
-    into.wants_reply = fields[wants_reply_at].get<bool>();
-    if (!fields[zone_load_at].is_null())
+        fields.get<std::uint64_t>(configuration_era_at);
+    into.replicas_next.era = fields.get<std::uint64_t>(replicas_era_at);
+    into.lapse_grace = milliseconds{fields.get<std::uint32_t>(lapse_grace_at)};
+    into.wants_reply = fields.get<bool>(wants_reply_at);
+    if (!fields.at(zone_load_at).is_nil())
+    {
+        into.zone_load = read_load(fields.at(zone_load_at));
+    }
+}
+
+auto read_report(msgpack::object const& from) -> std::optional<peer_report>
+{
+    auto const fields = list_reader{from};
+    auto report = peer_report{};
+    report.version = fields.get<std::uint32_t>(version_at);
+    auto const is_previous = report.version == previous_report_version &&
+                             fields.size() == previous_field_count;
+    auto const is_present =
+        report.version == report_version && fields.size() == field_count;
+    if (!is_previous && !is_present)
+    {
+        return std::nullopt;
+    }
+    report.ip = fields.get<std::string>(ip_at);
+    report.incarnation = fields.get<std::uint64_t>(incarnation_at);
+    report.sequence = fields.get<std::uint64_t>(sequence_at);
+    report.caller_address = fields.get<std::string>(caller_address_at);
+    report.zone = zone_name{fields.get<std::string>(zone_at)};
+    report.accepts_callers = fields.get<bool>(accepts_callers_at);
+    report.is_log_reachable = fields.get<bool>(is_log_reachable_at);
+    report.configuration_next =
+        fields.get<std::uint64_t>(configuration_next_at);
+    report.replicas_next = fields.get<std::uint64_t>(replicas_next_at);
+    for (auto const& each : list_reader{fields.at(leaving_at)})
+    {
+        report.leaving.push_back(read_leaving(each, is_previous));
+    }
+    report.load = read_load(fields.at(load_at));
+    report.crashes = read_crashes(fields.at(crashes_at), fields.at(cleared_at));
+    report.known_addresses =
+        read_addresses(fields.at(known_addresses_at), is_previous);
+    if (is_present)
     {
-        into.zone_load = read_load(fields[zone_load_at]);
+        read_present_fields(fields, report);
     }
+    return report;
 }
 
 } // namespace
@@ -214,80 +342,47 @@
 auto write_peer_report(peer_report const& report) -> std::string
 {
     auto const is_previous = report.version == previous_report_version;
-    auto leaving = json::array();
-    for (auto const& each : report.leaving)
-    {
-        leaving.push_back(write_leaving(each, is_previous));
-    }
-    auto fields = json::array(
-        {report.version, report.ip, report.incarnation, report.sequence,
-         report.caller_address, report.zone.str(), report.accepts_callers,
-         report.is_log_reachable, report.configuration_next.offset,
-         report.replicas_next.offset, std::move(leaving),
-         write_load(report.load), write_crashes(report.crashes.deaths),
-         write_cleared(report.crashes.cleared),
-         write_addresses(report.known_addresses, is_previous)});
+    auto buffer = msgpack::sbuffer{};
+    auto to = packer{buffer};
+    pack_array(to, is_previous ? previous_field_count : field_count);
+    to.pack(report.version);
+    to.pack(report.ip);
+    to.pack(report.incarnation);
+    to.pack(report.sequence);
+    to.pack(report.caller_address);
+    to.pack(report.zone.str());
+    to.pack(report.accepts_callers);
+    to.pack(report.is_log_reachable);
+    to.pack(report.configuration_next.offset);
+    to.pack(report.replicas_next.offset);
+    write_leaving(to, report.leaving, is_previous);
+    write_load(to, report.load);
+    write_crashes(to, report.crashes);
+    write_addresses(to, report.known_addresses, is_previous);
     if (!is_previous)
     {
-        fields.push_back(report.configuration_next.era);
-        fields.push_back(report.replicas_next.era);
-        fields.push_back(std::chrono::duration_cast<std::chrono::milliseconds>(
-                             report.lapse_grace)
-                             .count());
-        fields.push_back(report.wants_reply);
-        fields.push_back(
-            report.zone_load ? write_load(*report.zone_load) : json{});
+        write_present_fields(to, report);
     }
-    auto bytes = std::string{};
-    json::to_msgpack(fields, bytes);
-    return bytes;
+    return {buffer.data(), buffer.size()};
 }
 
 auto read_peer_report(std::string_view bytes) -> std::optional<peer_report>
 {
-    auto const parsed = codec::parse_bounded_msgpack(bytes);
-    if (!parsed || !parsed->is_array() || parsed->empty())
+    auto const limits =
+        msgpack::unpack_limit{max_elements, 0, max_text_bytes, 0, 0, max_depth};
+    try
     {
-        return std::nullopt;
+        auto consumed = std::size_t{0};
+        auto const unpacked = msgpack::unpack(
+            bytes.data(), bytes.size(), consumed, nullptr, nullptr, limits);
+        return consumed == bytes.size() ? read_report(unpacked.get())
+                                        : std::nullopt;
     }
-    auto const is_previous = parsed->size() == previous_field_count &&
-                             (*parsed)[version_at] == previous_report_version;
-    auto const is_present = parsed->size() == field_count &&
-                            (*parsed)[version_at] == report_version;
-    if (!is_previous && !is_present)
+    catch (msgpack::unpack_error const&)
     {
         return std::nullopt;
     }
-    try
-    {
-        auto const& fields = *parsed;
-        auto report = peer_report{};
-        report.ip = fields[ip_at].get<std::string>();
-        report.incarnation = fields[incarnation_at].get<std::uint64_t>();
-        report.sequence = fields[sequence_at].get<std::uint64_t>();
-        report.caller_address = fields[caller_address_at].get<std::string>();
-        report.zone = zone_name{fields[zone_at].get<std::string>()};
-        report.accepts_callers = fields[accepts_callers_at].get<bool>();
-        report.is_log_reachable = fields[is_log_reachable_at].get<bool>();
-        report.version = fields[version_at].get<std::uint32_t>();
-        report.configuration_next =
-            fields[configuration_next_at].get<std::uint64_t>();
-        report.replicas_next = fields[replicas_next_at].get<std::uint64_t>();
-        for (auto const& each : fields[leaving_at])
-        {
-            report.leaving.push_back(read_leaving(each, is_previous));
-        }
-        report.load = read_load(fields[load_at]);
-        report.crashes = read_crashes(fields[crashes_at], fields[cleared_at]);
-        report.known_addresses =
-            read_addresses(fields[known_addresses_at], is_previous);
-        if (is_present)
-        {
-            read_present_fields(fields, report);
-        }
-        return report;
-    }
-    catch (json::exception const&)
+    catch (msgpack::type_error const&)
     {
         return std::nullopt;
     }
