Keep streams in the zone whose load is known in time

They had been sent at once (waited 19 ms) to replicas expected to start them in 0.75 s, and took 2.1 s: prompts that other zones had sent there were not in the sums, which are up to a second old. Change: an engine of a zone of which only the sum is known gets a penalty of 0.6 of a replica's capacity, so that streams leave their zone only when it is full.

--- a/packages/relay/src/replica_table.cpp
+++ b/packages/relay/src/replica_table.cpp
@@ -27,6 +27,11 @@
 /// share of a replica's capacity.
 constexpr auto cross_zone_penalty = 0.05;
 
+/// Added to the score of an engine in a zone of which only the sum of its load
+/// is known: it lags by up to a second, in which that zone's own daemons and
+/// those of other zones may all have chosen the replica.
+constexpr auto lagging_load_penalty = 0.6;
+
 /// Added to the score of a replica in another zone than the run's memory, for a
 /// migration or a backup: a migration between zones takes twice as long, and
 /// the link of the leaving replica is the bottleneck.
@@ -390,7 +395,8 @@
     auto const slots = std::max(1U, candidate.slots);
     auto const slot_share = (static_cast<double>(load.requests) + 1) / slots;
     auto const slot_overflow = std::max(0.0, slot_share - 1);
-    return share + pending_prefill_weight * pending_prefill_share +
+    auto const lags = zones_.contains(candidate.zone);
+    return (lags ? lagging_load_penalty : 0) + share + pending_prefill_weight * pending_prefill_share +
            overflow_weight * (overflow + slot_overflow) +
            penalty(candidate, need.memory_zone, now);
 }
