Cut off daemons read the log rarely; lost readers trust the others on lapses

Cause: by reckoning, a third of 295 daemons that are cut off from each other for 8 s would each read the log as primaries, five times a second. And a daemon that the log turned away stayed 'lost' until its next regular read, up to 98 s later, and kept replicas that had vanished for as long. Change: a reader that no live daemon follows pauses 4 ms a daemon, 1 s at most (10 to 50 ms in fleets of under a dozen); only primary readers take their own failures for an outage, the others go by what readers report. log_position includes <compare>, which the linter's compiler needs.

--- a/packages/relay/include/sapphirereel/relay/address_selection.hpp
+++ b/packages/relay/include/sapphirereel/relay/address_selection.hpp
@@ -26,8 +26,8 @@
     auto operator<=>(ready_daemon const&) const = default;
 };
 
-/// The addresses to give to callers of a zone: those of its own daemons if there
-/// are enough, otherwise also those of other zones, and not more than
+/// The addresses to give to callers of a zone: those of its own daemons if
+/// there are enough, otherwise also those of other zones, and not more than
 /// `max_listed_addresses`. The choice does not depend on the order of `ready`,
 /// so that callers get the same list from every daemon of a zone and keep their
 /// connections.
--- a/packages/relay/include/sapphirereel/relay/cluster_sync.hpp
+++ b/packages/relay/include/sapphirereel/relay/cluster_sync.hpp
@@ -193,7 +193,8 @@
         }
         auto const is_primary =
             is_primary_log_reader(own_.ip, zone_, alive, is_log_reachable());
-        auto const settings = follow_settings_for(is_primary, state_.daemons);
+        auto const settings =
+            follow_settings_for(is_primary, state_.daemons, alive.empty());
         configuration_.set_settings(settings);
         replicas_.set_settings(settings);
         if (std::exchange(is_primary_log_reader_, is_primary) != is_primary)
@@ -435,8 +436,7 @@
     auto retain_lapsed(std::vector<replica>& listed, time_point now) -> void
     {
         auto const reads_log = is_primary_log_reader_ && !replicas_.is_lost();
-        auto const is_recovering = replicas_.is_lost() ||
-                                   lapse_grace_left(now) > duration{0} ||
+        auto const is_recovering = lapse_grace_left(now) > duration{0} ||
                                    (!reads_log && now < peer_grace_until_);
         if (!is_recovering)
         {
--- a/packages/relay/include/sapphirereel/relay/log_position.hpp
+++ b/packages/relay/include/sapphirereel/relay/log_position.hpp
@@ -4,6 +4,7 @@
 #ifndef SAPPHIREREEL_RELAY_LOG_POSITION_HPP
 #define SAPPHIREREEL_RELAY_LOG_POSITION_HPP
 
+#include <compare>
 #include <cstdint>
 
 namespace sapphirereel::relay {
--- a/packages/relay/include/sapphirereel/relay/log_reader_selection.hpp
+++ b/packages/relay/include/sapphirereel/relay/log_reader_selection.hpp
@@ -27,7 +27,10 @@
     bool reaches_log = true) -> bool;
 
 /// Polling settings of a primary or secondary reader among `daemons` daemons.
-auto follow_settings_for(bool is_primary, std::size_t daemons)
+/// `is_alone` tells that none of the others is alive, as when this one is cut
+/// off from them; many may be at the same time.
+auto follow_settings_for(
+    bool is_primary, std::size_t daemons, bool is_alone = false)
     -> follow_settings;
 
 } // namespace sapphirereel::relay
--- a/packages/relay/src/log_reader_selection.cpp
+++ b/packages/relay/src/log_reader_selection.cpp
@@ -27,6 +27,11 @@
 constexpr auto min_primary_pause = duration{milliseconds{10}};
 constexpr auto max_primary_pause = duration{milliseconds{200}};
 
+/// The same of a reader that no other daemon follows. If a third of 300 daemons
+/// are cut off from each other, they read the log 100 times a second.
+constexpr auto lone_pause_per_daemon = duration{milliseconds{4}};
+constexpr auto max_lone_pause = duration{milliseconds{1'000}};
+
 /// A group of daemons of which the first reads the log for the others.
 struct reader_group
 {
@@ -75,7 +80,7 @@
         [&](ranked_reader const& each) { return each.ip == own_ip; });
 }
 
-auto follow_settings_for(bool is_primary, std::size_t daemons)
+auto follow_settings_for(bool is_primary, std::size_t daemons, bool is_alone)
     -> follow_settings
 {
     // Secondary readers poll as a fallback in case no peer reports a change.
@@ -83,9 +88,11 @@
     {
         return {duration{0}, secondary_read_pause(daemons), true};
     }
+    auto const per_daemon =
+        is_alone ? lone_pause_per_daemon : primary_pause_per_daemon;
     auto const pause = std::clamp(
-        primary_pause_per_daemon * static_cast<duration::rep>(daemons),
-        min_primary_pause, max_primary_pause);
+        per_daemon * static_cast<duration::rep>(daemons), min_primary_pause,
+        is_alone ? max_lone_pause : max_primary_pause);
     return {primary_read_wait, pause};
 }
 
--- a/packages/relay/src/replica_table.cpp
+++ b/packages/relay/src/replica_table.cpp
@@ -396,7 +396,8 @@
     auto const slot_share = (static_cast<double>(load.requests) + 1) / slots;
     auto const slot_overflow = std::max(0.0, slot_share - 1);
     auto const lags = zones_.contains(candidate.zone);
-    return (lags ? lagging_load_penalty : 0) + share + pending_prefill_weight * pending_prefill_share +
+    return (lags ? lagging_load_penalty : 0) + share +
+           pending_prefill_weight * pending_prefill_share +
            overflow_weight * (overflow + slot_overflow) +
            penalty(candidate, need.memory_zone, now);
 }
--- a/test/correctness/relay/control_traffic_does_not_grow_with_daemons.cpp
+++ b/test/correctness/relay/control_traffic_does_not_grow_with_daemons.cpp
@@ -52,5 +52,18 @@
     EXPECT_EQ(follow_settings_for(false, 9).pause, secondary_read_pause(9));
 }
 
+// Daemons that are cut off from each other all read the log: a third of a large
+// fleet must not read it more often than the whole fleet's primaries and
+// secondaries may together, and each still learns of changes within a second.
+TEST(lone_log_readers, of_a_large_fleet_read_rarely)
+{
+    auto const lone = follow_settings_for(true, 300, true);
+    EXPECT_LE(per_second(100, lone.pause), 101);
+    EXPECT_LE(lone.pause, duration{std::chrono::seconds{1}});
+    EXPECT_LE(
+        follow_settings_for(true, 9, true).pause,
+        duration{std::chrono::milliseconds{50}});
+}
+
 } // namespace
 } // namespace sapphirereel::relay
