Spread callers over all zones where the fleet is known whole

Suspected: lists of the caller's zone only leave zones with more callers to their own daemons and replicas.

--- a/packages/relay/include/sapphirereel/relay/address_selection.hpp
+++ b/packages/relay/include/sapphirereel/relay/address_selection.hpp
@@ -14,8 +14,8 @@
 /// its beginning, which would leave the other daemons without work.
 inline constexpr auto max_listed_addresses = std::size_t{64};
 
-/// Number of daemons of the caller's zone from which on it is given only those.
-/// Fewer may all be gone before the caller asks again.
+/// Number of daemons of the caller's zone from which on it is given only those
+/// in a large fleet. Fewer may all be gone before the caller asks again.
 inline constexpr auto min_daemons_of_one_zone = std::size_t{8};
 
 /// A daemon that accepts callers.
@@ -26,12 +26,23 @@
     auto operator<=>(ready_daemon const&) const = default;
 };
 
-/// The addresses to give to callers of a zone: those of its own daemons if
-/// there are enough, otherwise also those of other zones, and not more than
-/// `max_listed_addresses`. The choice does not depend on the order of `ready`,
-/// so that callers get the same list from every daemon of a zone and keep their
+/// Which of the ready daemons a daemon knows.
+enum class fleet_view
+{
+    /// All of them.
+    whole,
+    /// Those of its zone, and a few of each other zone, which change.
+    own_zone
+};
+
+/// The addresses to give to callers of a zone, not more than
+/// `max_listed_addresses`: those of all daemons, the zone's own first, so that
+/// the zones share their load. With a view of the own zone only its daemons, if
+/// there are enough. The choice does not depend on the order of `ready`, so
+/// that callers get the same list from every daemon of a zone and keep their
 /// connections.
-auto select_addresses(std::vector<ready_daemon> ready, zone_name const& zone)
+auto select_addresses(
+    std::vector<ready_daemon> ready, zone_name const& zone, fleet_view view)
     -> std::vector<std::string>;
 
 } // namespace sapphirereel::relay
--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -172,7 +172,9 @@
         {
             ready.push_back({settings_.callers.text(), settings_.zone});
         }
-        return select_addresses(std::move(ready), settings_.zone);
+        return select_addresses(
+            std::move(ready), settings_.zone,
+            peers_.is_zoned() ? fleet_view::own_zone : fleet_view::whole);
     }
 
     /// Begins a planned stop; `done` is called when the process may exit.
--- a/packages/relay/src/address_selection.cpp
+++ b/packages/relay/src/address_selection.cpp
@@ -14,14 +14,18 @@
 
 } // namespace
 
-auto select_addresses(std::vector<ready_daemon> ready, zone_name const& zone)
+auto select_addresses(
+    std::vector<ready_daemon> ready, zone_name const& zone, fleet_view view)
     -> std::vector<std::string>
 {
     auto const is_near = [&](ready_daemon const& each) {
         return each.zone == zone;
     };
     auto const near = std::count_if(ready.begin(), ready.end(), is_near);
-    if (static_cast<std::size_t>(near) >= min_daemons_of_one_zone)
+    auto const is_zone_enough =
+        view == fleet_view::own_zone &&
+        static_cast<std::size_t>(near) >= min_daemons_of_one_zone;
+    if (is_zone_enough)
     {
         std::erase_if(ready, [&](auto const& each) { return !is_near(each); });
     }
