LOST: log and count connections that end before their answer is complete

Cause to look for: the report says that requests ended without an answer, and neither log nor metrics said who closed a caller's connection, nor in which state its request was.

Change: a session knows the stage of its present request; the daemon logs and counts each connection that ends before that is over, by who ended it (caller, daemon, exit), with the unsent bytes, the time since SIGTERM, SIGHUP and the last configuration, and the age of the process. A graceful close keeps its handler for a broken connection, so that an answer that is not delivered in full is reported too. No decision changes.

--- a/packages/relay/include/sapphirereel/relay/caller_session.hpp
+++ b/packages/relay/include/sapphirereel/relay/caller_session.hpp
@@ -8,6 +8,7 @@
 #include "sapphirereel/http/request_parser.hpp"
 #include "sapphirereel/relay/connection.hpp"
 #include "sapphirereel/relay/routing.hpp"
+#include "sapphirereel/relay/session_stage.hpp"
 
 #include <asio/post.hpp>
 #include <functional>
@@ -24,6 +25,7 @@
     using request_handler =
         std::function<void(std::shared_ptr<caller_session>, http::request)>;
     using limits_source = std::function<caller_limits()>;
+    using incomplete_handler = std::function<void(incomplete_session const&)>;
 
     /// Starts reading. `limits` is evaluated before each request.
     static auto start(
@@ -53,6 +55,10 @@
     /// although the response is incomplete.
     auto close_incomplete() -> void;
 
+    /// Sets a handler that is called if the connection ends before a request
+    /// that was read, at least in part, has its complete response.
+    auto on_incomplete(incomplete_handler handler) -> void;
+
     /// Closes the connection once it is idle; a response in progress is
     /// completed first.
     auto stop() -> void;
@@ -70,12 +76,11 @@
     /// have been written.
     auto on_drained(std::function<void()> handler) -> void;
 
-    [[nodiscard]] auto is_busy() const -> bool
-    {
-        return busy_;
-    }
+    /// How far the present request has got.
+    [[nodiscard]] auto stage() const -> session_stage;
 
-    [[nodiscard]] auto is_open() const -> bool;
+    /// Whether the socket is closed.
+    [[nodiscard]] auto is_closed() const -> bool;
 
 private:
     caller_session(
@@ -90,6 +95,7 @@
     auto response_completed() -> void;
     auto reject(http::request_error const& error) -> void;
     auto handle_disconnect() -> void;
+    auto report_incomplete(session_end ended_by) const -> void;
     auto arm_timer() -> void;
     auto timed_out() -> void;
     auto connection_fields(http::field_list& fields) const -> void;
@@ -101,7 +107,10 @@
     http::request_parser parser_;
     std::function<void()> disconnect_handler_;
     std::function<void()> drain_handler_;
+    incomplete_handler incomplete_handler_;
     bool busy_ = false;
+    /// Whether a streamed response has begun.
+    bool streaming_ = false;
     bool keep_alive_ = true;
     bool stopping_ = false;
     /// Whether the timer limits the time to receive a request's head instead of
--- a/packages/relay/include/sapphirereel/relay/connection.hpp
+++ b/packages/relay/include/sapphirereel/relay/connection.hpp
@@ -74,13 +74,18 @@
 
     /// Closes the connection after the buffered bytes have been written.
     /// Further input is read and discarded for a short time, so that no reset
-    /// overtakes the last bytes.
+    /// overtakes the last bytes. `handlers::ended` is called if the connection
+    /// ends before that.
     auto close_gracefully() -> void;
 
     auto close() -> void;
 
+    /// Whether the connection can carry more bytes to the peer.
     [[nodiscard]] auto is_open() const -> bool;
 
+    /// Whether the socket is closed; false while a graceful close is pending.
+    [[nodiscard]] auto is_closed() const -> bool;
+
     /// Whether input or the peer's close is ready to be read.
     [[nodiscard]] auto has_input() -> bool;
 
--- a/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
@@ -6,6 +6,7 @@
 
 #include "sapphirereel/core/clock.hpp"
 #include "sapphirereel/relay/request_admission.hpp"
+#include "sapphirereel/relay/session_stage.hpp"
 #include "sapphirereel/telemetry/metrics_histogram.hpp"
 
 #include <array>
@@ -64,6 +65,7 @@
 
     auto add(relay_counter which, std::uint64_t amount = 1) -> void;
     auto refused(refusal_reason why) -> void;
+    auto incomplete(incomplete_session const& which) -> void;
     auto observe(relay_timing which, duration length) -> void;
 
     [[nodiscard]] auto value(relay_counter which) const -> std::uint64_t;
@@ -77,8 +79,16 @@
     static constexpr auto reasons =
         static_cast<std::size_t>(refusal_reason::replicas_busy) + 1;
 
+    static constexpr auto stages =
+        static_cast<std::size_t>(session_stage::count_of_stages);
+    static constexpr auto ends =
+        static_cast<std::size_t>(session_end::count_of_ends);
+
     std::array<std::uint64_t, counters> counters_{};
     std::array<std::uint64_t, reasons> refusals_{};
+    /// Connections that ended before their response was complete, by who ended
+    /// them and by stage.
+    std::array<std::array<std::uint64_t, stages>, ends> incomplete_{};
     std::array<
         telemetry::metrics_histogram,
         static_cast<std::size_t>(relay_timing::count_of_timings)>
--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -13,6 +13,7 @@
 
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <tl/expected.hpp>
 #include <vector>
@@ -129,7 +130,8 @@
         {
             return datagrams;
         }
-        cluster_sync_.start(telemetry::monotonic_now());
+        started_at_ = telemetry::monotonic_now();
+        cluster_sync_.start(*started_at_);
         tick();
         return {};
     }
@@ -195,6 +197,7 @@
     /// Applies the settings that may change at run time: the seed addresses.
     auto reload(relay_settings const& settings) -> void
     {
+        reloaded_at_ = telemetry::monotonic_now();
         settings_.seeds = settings.seeds;
         peers_.set_seeds(settings.seeds);
         state_.log.info(
@@ -218,6 +221,9 @@
                 std::shared_ptr<caller_session> from, http::request request) {
                 serve(std::move(from), std::move(request));
             });
+        session->on_incomplete([this](incomplete_session const& which) {
+            record_incomplete(which, telemetry::monotonic_now());
+        });
         sessions_.push_back(session);
         if (state_.stopping && stop_closes_idle_)
         {
@@ -226,6 +232,31 @@
         }
     }
 
+    /// Records a connection that ended before its response was complete, with
+    /// the planned work beside which that happened.
+    auto record_incomplete(incomplete_session const& which, time_point now)
+        -> void
+    {
+        state_.metrics.incomplete(which);
+        state_.log.info(
+            "callers", "a connection ended before its answer was complete",
+            {{"by", std::string{name_of(which.ended_by)}},
+             {"stage", std::string{name_of(which.stage)}},
+             {"unsent_bytes", which.unsent_bytes},
+             {"stopping", state_.stopping},
+             {"since_stop", since(stop_began_, now)},
+             {"since_reload", since(reloaded_at_, now)},
+             {"since_configuration", since(configured_at_, now)},
+             {"process_age", since(started_at_, now)}});
+    }
+
+    /// Time since an event; 0 if it has not happened.
+    static auto since(std::optional<time_point> event, time_point now)
+        -> duration
+    {
+        return event ? now - *event : duration{0};
+    }
+
     [[nodiscard]] auto limits() const -> caller_limits
     {
         return state_.table ? state_.table->configuration().limits
@@ -300,10 +331,12 @@
         {
             return false;
         }
-        auto const since = telemetry::monotonic_now() - stop_began_;
-        auto const left = settings_.stop_limit - stop_margin - since;
-        return kind == request_kind::stream ? since >= refuse_streams_after
-                                            : left < min_time_for_plain_request;
+        auto const stopping_for =
+            since(stop_began_, telemetry::monotonic_now());
+        auto const left = settings_.stop_limit - stop_margin - stopping_for;
+        return kind == request_kind::stream
+                   ? stopping_for >= refuse_streams_after
+                   : left < min_time_for_plain_request;
     }
 
     // Peers.
@@ -384,8 +417,9 @@
         state_.pool.expire(now);
         sessions_.remove_if([](std::weak_ptr<caller_session> const& each) {
             auto const held = each.lock();
-            return !held || !held->is_open();
+            return !held || held->is_closed();
         });
+        note_configuration(now);
         state_.crashes.expire(now);
         cluster_sync_.tick(now);
         tick_.expires_after(tick_interval);
@@ -397,12 +431,23 @@
         });
     }
 
+    /// Records when the configuration in force last changed.
+    auto note_configuration(time_point now) -> void
+    {
+        if (state_.table != noted_table_)
+        {
+            noted_table_ = state_.table;
+            configured_at_ = now;
+        }
+    }
+
     // Planned stop.
 
     auto check_stop() -> void
     {
-        auto const since = telemetry::monotonic_now() - stop_began_;
-        if (since >= close_idle_after &&
+        auto const now = telemetry::monotonic_now();
+        auto const stopping_for = since(stop_began_, now);
+        if (stopping_for >= close_idle_after &&
             !std::exchange(stop_closes_idle_, true))
         {
             for (auto const& each : sessions_)
@@ -413,12 +458,14 @@
                 }
             }
         }
-        auto const is_done = since >= min_stop_time && state_.active == 0;
-        if (is_done || since >= settings_.stop_limit - stop_margin)
+        auto const is_done =
+            stopping_for >= min_stop_time && state_.active == 0;
+        if (is_done || stopping_for >= settings_.stop_limit - stop_margin)
         {
+            record_cut_sessions(now);
             state_.log.info(
                 "stop", "stopped",
-                {{"broken_off", state_.active}, {"after", since}});
+                {{"broken_off", state_.active}, {"after", stopping_for}});
             on_stopped_();
             return;
         }
@@ -431,6 +478,23 @@
         });
     }
 
+    /// Records the connections that the exit cuts.
+    auto record_cut_sessions(time_point now) -> void
+    {
+        for (auto const& each : sessions_)
+        {
+            auto const session = each.lock();
+            if (session && session->stage() != session_stage::idle &&
+                !session->is_closed())
+            {
+                record_incomplete(
+                    {session_end::exit, session->stage(),
+                     session->unsent_bytes()},
+                    now);
+            }
+        }
+    }
+
     relay_settings settings_;
     relay_state state_;
     peer_gossip peers_;
@@ -441,7 +505,12 @@
     asio::steady_timer tick_;
     asio::steady_timer stop_timer_;
     std::function<void()> on_stopped_;
-    time_point stop_began_{};
+    std::optional<time_point> started_at_;
+    std::optional<time_point> stop_began_;
+    std::optional<time_point> reloaded_at_;
+    std::optional<time_point> configured_at_;
+    /// The configuration that was in force at the last tick.
+    std::shared_ptr<routing_table const> noted_table_;
     bool stop_closes_idle_ = false;
 };
 
--- a/packages/relay/src/caller_session.cpp
+++ b/packages/relay/src/caller_session.cpp
@@ -150,6 +150,7 @@
     connection_fields(fields);
     keep_alive_ = keep_alive_ && !stopping_;
     fields.push_back({"Transfer-Encoding", "chunked"});
+    streaming_ = true;
     connection_->send(http::write_head(status, reason, fields));
 }
 
@@ -169,6 +170,7 @@
     disconnect_handler_ = {};
     drain_handler_ = {};
     busy_ = false;
+    streaming_ = false;
     if (!keep_alive_)
     {
         timer_.cancel();
@@ -193,6 +195,7 @@
 
 auto caller_session::abort() -> void
 {
+    report_incomplete(session_end::daemon);
     disconnect_handler_ = {};
     drain_handler_ = {};
     timer_.cancel();
@@ -201,6 +204,7 @@
 
 auto caller_session::close_incomplete() -> void
 {
+    report_incomplete(session_end::daemon);
     disconnect_handler_ = {};
     drain_handler_ = {};
     timer_.cancel();
@@ -219,6 +223,7 @@
 
 auto caller_session::handle_disconnect() -> void
 {
+    report_incomplete(session_end::caller);
     timer_.cancel();
     drain_handler_ = {};
     if (auto const handler = std::exchange(disconnect_handler_, {}))
@@ -242,9 +247,37 @@
     return connection_->unsent_bytes();
 }
 
-auto caller_session::is_open() const -> bool
+auto caller_session::on_incomplete(incomplete_handler handler) -> void
 {
-    return connection_->is_open();
+    incomplete_handler_ = std::move(handler);
+}
+
+auto caller_session::stage() const -> session_stage
+{
+    if (busy_)
+    {
+        return streaming_ ? session_stage::answering : session_stage::waiting;
+    }
+    if (connection_->unsent_bytes() > 0)
+    {
+        return session_stage::flushing;
+    }
+    return parser_.has_partial() ? session_stage::receiving
+                                 : session_stage::idle;
+}
+
+auto caller_session::report_incomplete(session_end ended_by) const -> void
+{
+    auto const reached = stage();
+    if (reached != session_stage::idle && incomplete_handler_)
+    {
+        incomplete_handler_({ended_by, reached, connection_->unsent_bytes()});
+    }
+}
+
+auto caller_session::is_closed() const -> bool
+{
+    return connection_->is_closed();
 }
 
 } // namespace sapphirereel::relay
--- a/packages/relay/src/connection.cpp
+++ b/packages/relay/src/connection.cpp
@@ -253,7 +253,8 @@
         return;
     }
     closing_ = true;
-    handlers_ = {};
+    handlers_.received = {};
+    handlers_.drained = {};
     wait_readable();
     if (pending_.empty())
     {
@@ -283,6 +284,11 @@
     socket_.close(ignored);
 }
 
+auto connection::is_closed() const -> bool
+{
+    return !socket_.is_open();
+}
+
 auto connection::is_open() const -> bool
 {
     return socket_.is_open() && !closing_;
--- a/packages/relay/src/relay_metrics.cpp
+++ b/packages/relay/src/relay_metrics.cpp
@@ -65,6 +65,12 @@
     ++refusals_[static_cast<std::size_t>(why)];
 }
 
+auto relay_metrics::incomplete(incomplete_session const& which) -> void
+{
+    ++incomplete_[static_cast<std::size_t>(which.ended_by)]
+                 [static_cast<std::size_t>(which.stage)];
+}
+
 auto relay_metrics::observe(relay_timing which, duration length) -> void
 {
     timings_[static_cast<std::size_t>(which)].observe(length);
@@ -90,6 +96,17 @@
             "sapphirereel_relay_refusals_total{{reason=\"{}\"}} {}\n",
             name_of(static_cast<refusal_reason>(at)), refusals_[at]);
     }
+    for (auto end = std::size_t{0}; end < ends; ++end)
+    {
+        for (auto at = std::size_t{1}; at < stages; ++at)
+        {
+            text += fmt::format(
+                "sapphirereel_relay_incomplete_total{{by=\"{}\",stage=\"{}\"}} "
+                "{}\n",
+                name_of(static_cast<session_end>(end)),
+                name_of(static_cast<session_stage>(at)), incomplete_[end][at]);
+        }
+    }
     for (auto at = std::size_t{0}; at < timing_names.size(); ++at)
     {
         text += timings_[at].lines(
