--- a/test/correctness/relay/runs_migrate_off_draining_replicas.cpp
+++ b/test/correctness/relay/runs_migrate_off_draining_replicas.cpp
@@ -34,6 +34,13 @@
                 handle_migration(*from, request.body);
                 return;
             }
+            if (rejects_resumption(request))
+            {
+                auto fields = signed_fields(request);
+                fields.push_back({"X-Sapphirereel-Not-Executed", "1"});
+                from->respond(503, fields, {});
+                return;
+            }
             from->begin_stream(200, "OK", signed_fields(request));
             if (auto const memory = http::find(request.fields, "Kv-From"))
             {
@@ -44,9 +51,26 @@
             }
             from->stream(event(1) + event(2) + event(3));
             running = from;
+            source = expected_replica(request);
         };
     }
 
+    static auto expected_replica(http::request const& request) -> std::string
+    {
+        auto const named =
+            http::find(request.fields, "X-Sapphirereel-Expect-Instance");
+        return std::string{named.value_or(std::string_view{})};
+    }
+
+    /// Whether the replica that a run moves to has no place for it now.
+    [[nodiscard]] auto rejects_resumption(http::request const& request) const
+        -> bool
+    {
+        return destination_is_full &&
+               http::find(request.fields, "Kv-From").has_value() &&
+               expected_replica(request) != source;
+    }
+
     auto handle_migration(caller_session& from, std::string const& body) -> void
     {
         auto const stops = body.find("\"last\":true") != std::string::npos;
@@ -82,7 +106,10 @@
     std::shared_ptr<caller_session> running;
     std::vector<std::string> migration_requests;
     std::string requested_memory;
+    /// The replica that runs the request.
+    std::string source;
     int copies_refused = 0;
+    bool destination_is_full = false;
 };
 
 auto request_and_drain(migrating_pair& with)
@@ -133,6 +160,19 @@
         (std::vector<std::string>{"copy", "copy", "copy", "stop"}));
 }
 
+// A run that was stopped to migrate must not be lost because its destination
+// rejects it: the source still holds it.
+TEST(
+    run_on_a_draining_replica, resumes_at_its_source_if_the_destination_is_full)
+{
+    auto with = migrating_pair{};
+    with.destination_is_full = true;
+    ASSERT_TRUE(with.world.start());
+    auto const [source, body] = request_and_drain(with);
+    EXPECT_EQ(body, event(1) + event(2) + event(3) + event(4) + event(5));
+    EXPECT_EQ(with.requested_memory, source + "/h1");
+}
+
 TEST(migration_time_estimate, is_proportional_to_the_memory)
 {
     auto const traits = engine_traits{34'000, 18'432, 2'700, true, true, 4};
--- a/test/support/relay/relay_fixture.hpp
+++ b/test/support/relay/relay_fixture.hpp
@@ -194,11 +194,12 @@
 class relay_fixture
 {
 public:
-    relay_fixture()
+    /// `stop_limit` is the longest time from the stop request to the exit.
+    explicit relay_fixture(duration stop_limit = std::chrono::seconds{8})
         : log(loop)
         , node_(
               loop,
-              settings_on(free_port(loop), free_port(loop)),
+              settings_on(free_port(loop), free_port(loop), stop_limit),
               log,
               std::move(*length_estimator::create({})),
               7)
@@ -331,7 +332,8 @@
     std::vector<std::string> lines;
 
 private:
-    auto settings_on(std::uint16_t callers, std::uint16_t peers)
+    auto settings_on(
+        std::uint16_t callers, std::uint16_t peers, duration stop_limit)
         -> relay_settings
     {
         caller_port_ = callers;
@@ -341,6 +343,7 @@
         settings.callers = {process_loopback_ip(), callers};
         settings.peers = {process_loopback_ip(), peers};
         settings.retry_budget = {0.2, 50, std::chrono::seconds{10}};
+        settings.stop_limit = stop_limit;
         return settings;
     }
 
