--- a/packages/relay/include/sapphirereel/relay/caller_session.hpp
+++ b/packages/relay/include/sapphirereel/relay/caller_session.hpp
@@ -79,6 +79,10 @@
     /// How far the present request has got.
     [[nodiscard]] auto stage() const -> session_stage;
 
+    /// Whether a request has arrived, at least in part, that has no answer yet,
+    /// or part of an answer is still buffered.
+    [[nodiscard]] auto is_in_use() const -> bool;
+
     /// Whether the socket is closed.
     [[nodiscard]] auto is_closed() const -> bool;
 
--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -458,14 +458,13 @@
                 }
             }
         }
-        auto const is_done =
-            stopping_for >= min_stop_time && state_.active == 0;
+        auto const is_done = stopping_for >= min_stop_time && !is_in_use();
         if (is_done || stopping_for >= settings_.stop_limit - stop_margin)
         {
-            record_cut_sessions(now);
+            auto const cut = record_cut_sessions(now);
             state_.log.info(
                 "stop", "stopped",
-                {{"broken_off", state_.active}, {"after", stopping_for}});
+                {{"broken_off", cut}, {"after", stopping_for}});
             on_stopped_();
             return;
         }
@@ -478,21 +477,37 @@
         });
     }
 
-    /// Records the connections that the exit cuts.
-    auto record_cut_sessions(time_point now) -> void
+    /// Whether a caller waits for an answer or has not received all of it.
+    [[nodiscard]] auto is_in_use() const -> bool
     {
+        return state_.active > 0 || !sessions_in_use().empty();
+    }
+
+    [[nodiscard]] auto sessions_in_use() const
+        -> std::vector<std::shared_ptr<caller_session>>
+    {
+        auto in_use = std::vector<std::shared_ptr<caller_session>>{};
         for (auto const& each : sessions_)
         {
-            auto const session = each.lock();
-            if (session && session->stage() != session_stage::idle &&
-                !session->is_closed())
+            auto session = each.lock();
+            if (session && session->is_in_use())
             {
-                record_incomplete(
-                    {session_end::exit, session->stage(),
-                     session->unsent_bytes()},
-                    now);
+                in_use.push_back(std::move(session));
             }
         }
+        return in_use;
+    }
+
+    /// Records the connections that the exit cuts; returns their number.
+    auto record_cut_sessions(time_point now) -> std::size_t
+    {
+        auto const cut = sessions_in_use();
+        for (auto const& each : cut)
+        {
+            record_incomplete(
+                {session_end::exit, each->stage(), each->unsent_bytes()}, now);
+        }
+        return cut.size();
     }
 
     relay_settings settings_;
--- a/packages/relay/src/caller_session.cpp
+++ b/packages/relay/src/caller_session.cpp
@@ -266,6 +266,16 @@
                                  : session_stage::idle;
 }
 
+auto caller_session::is_in_use() const -> bool
+{
+    if (connection_->is_closed())
+    {
+        return false;
+    }
+    return stage() != session_stage::idle ||
+           (connection_->is_open() && connection_->has_input());
+}
+
 auto caller_session::report_incomplete(session_end ended_by) const -> void
 {
     auto const reached = stage();
