LOST: serve a request that arrives as its connection is closed for being idle

What callers saw: a kept connection that closed without an answer, though the daemon had read the whole request well after it was sent.

Cause: 2.5 s after a stop request, and at the idle timeout, a session closes if it has read no part of a request. On a busy daemon a request can lie in the socket by then; the graceful close read and discarded it.

Change: a session with input that was not read is not idle; it serves the request and closes after the answer. Same check at the idle timeout.

Why it works: after the check no other request can have been sent before the close was, other than in the time that the close is on its way, and such a request is not read in full before the caller sees the close.

--- a/packages/relay/include/sapphirereel/relay/caller_session.hpp
+++ b/packages/relay/include/sapphirereel/relay/caller_session.hpp
@@ -102,6 +102,7 @@
     auto report_incomplete(session_end ended_by) const -> void;
     auto arm_timer() -> void;
     auto timed_out() -> void;
+    auto close_if_idle() -> void;
     auto connection_fields(http::field_list& fields) const -> void;
 
     std::shared_ptr<connection> connection_;
--- a/packages/relay/src/caller_session.cpp
+++ b/packages/relay/src/caller_session.cpp
@@ -117,6 +117,17 @@
         reject({408, "the request did not arrive in time"});
         return;
     }
+    close_if_idle();
+}
+
+/// A request that has arrived and was not read yet is served.
+auto caller_session::close_if_idle() -> void
+{
+    if (busy_ || parser_.has_partial() || connection_->has_input())
+    {
+        return;
+    }
+    timer_.cancel();
     connection_->close_gracefully();
 }
 
@@ -214,10 +225,9 @@
 auto caller_session::stop() -> void
 {
     stopping_ = true;
-    if (!busy_ && !parser_.has_partial())
+    if (connection_->is_open())
     {
-        timer_.cancel();
-        connection_->close_gracefully();
+        close_if_idle();
     }
 }
 
