LOST: refuse requests that a planned stop would cut off before their deadline

What callers saw: a request accepted late in a stop and closed without an answer, by a daemon that could have turned it away at once.

Cause: a stopping daemon accepted every request but streams while 1.2 s were left, whatever the deadline of the request.

Change: from 2 s after the stop request on, a request is accepted only if the stop leaves it the time until its deadline, and 1.2 s at least; the refusal says that it has not run and to try elsewhere in 50 ms. The decision is a function of its own, without I/O.

--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -9,6 +9,7 @@
 #include "sapphirereel/relay/cluster_sync.hpp"
 #include "sapphirereel/relay/listener.hpp"
 #include "sapphirereel/relay/peer_gossip.hpp"
+#include "sapphirereel/relay/stop_policy.hpp"
 #include "sapphirereel/relay/stream_exchange.hpp"
 
 #include <list>
@@ -27,15 +28,7 @@
 inline constexpr auto close_idle_after =
     duration{std::chrono::milliseconds{2'500}};
 
-/// Time from the stop request after which new streams are refused, since they
-/// would not end before the process exits.
-inline constexpr auto refuse_streams_after =
-    duration{std::chrono::milliseconds{2'000}};
-
-/// Minimum time left before the exit for a request that is not a stream to be
-/// accepted, and the delay after which a refused caller may try another daemon.
-inline constexpr auto min_time_for_plain_request =
-    duration{std::chrono::milliseconds{1'200}};
+/// Delay after which a caller that a stopping daemon refused may try another.
 inline constexpr auto retry_elsewhere_after =
     duration{std::chrono::milliseconds{50}};
 
@@ -292,7 +285,7 @@
                 read->id, state_);
             return;
         }
-        if (is_too_late_for(granted->route->kind))
+        if (!accepts_now(*granted, telemetry::monotonic_now()))
         {
             send_refusal(
                 *from, {refusal_reason::stopping, 503, retry_elsewhere_after},
@@ -324,19 +317,18 @@
                    request_fingerprint(request, terms.customer));
     }
 
-    /// Whether the planned stop would cut off a request that starts now.
-    [[nodiscard]] auto is_too_late_for(request_kind kind) const -> bool
+    /// Whether a request that arrives now is accepted as far as a planned stop
+    /// is concerned.
+    [[nodiscard]] auto accepts_now(grant const& terms, time_point now) const
+        -> bool
     {
-        if (!state_.stopping)
-        {
-            return false;
-        }
-        auto const stopping_for =
-            since(stop_began_, telemetry::monotonic_now());
-        auto const left = settings_.stop_limit - stop_margin - stopping_for;
-        return kind == request_kind::stream
-                   ? stopping_for >= refuse_streams_after
-                   : left < min_time_for_plain_request;
+        auto const stopping_for = since(stop_began_, now);
+        return !state_.stopping ||
+               accepts_while_stopping(
+                   terms.route->kind,
+                   {stopping_for,
+                    settings_.stop_limit - stop_margin - stopping_for,
+                    terms.deadline - now});
     }
 
     // Peers.
