BUDGET: find parts of prompts that crash replicas, and refuse requests with them

What callers saw: replicas crashed one after the other, and with them the streams of all others on them; requests that share one part were sent on for as long as they came.

Cause: the detector knows whole requests.

Change: core/poison_part counts, by part, the crashes at which a request with it had no output, over all daemons; output of any request clears its parts. Three incidents without output in between are a ruling (five for a part that has had output before), after half a second in which output still clears. A ruling goes with every report; requests with the part are refused at once, 503 and 'not run', on arrival, while they wait and before each send, and those that wait at a replica are ended. A part that is refused is tried by one request of the fleet after 60 s at the earliest. Above 100 daemons news is passed on, as daemons report to their zone only. Reports have version 4; 3 and 2 are read and answered.

Why it works: the part is the only thing that such requests share, and the only one of theirs that never has output; what sound requests share is cleared by them within a moment. Sound requests lose nothing but what was at the crashes.

--- a/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
@@ -76,6 +76,11 @@
 
     auto attempt() -> void
     {
+        if (exchange_.is_poisoned())
+        {
+            interrupted(interruption::poison);
+            return;
+        }
         auto const now = telemetry::monotonic_now();
         auto const left = exchange_.remaining(now);
         if (left < min_attempt_time)
@@ -220,6 +225,7 @@
         }
         exchange_.state.replicas.succeeded(target_.id);
         exchange_.record_answer(now);
+        exchange_.record_output(now);
         auto const may_retry =
             head_->status >= 500 && is_idempotent() &&
             exchange_.runs < exchange_.granted.route->max_attempts;
@@ -258,7 +264,7 @@
         }
         auto const now = telemetry::monotonic_now();
         exchange_.state.replicas.failed(target_.id, now);
-        exchange_.attribute_crash(target_, why, now);
+        exchange_.attribute_crash(target_, why, head_.has_value(), now);
         exchange_.excluded.insert(target_.id);
         exchange_.state.log.request(
             exchange_.request.id, "attempt failed",
--- a/packages/relay/include/sapphirereel/relay/crash_tracker.hpp
+++ b/packages/relay/include/sapphirereel/relay/crash_tracker.hpp
@@ -10,6 +10,7 @@
 #include "sapphirereel/core/poison_request.hpp"
 #include "sapphirereel/relay/replica_table.hpp"
 #include "sapphirereel/relay/request_admission.hpp"
+#include "sapphirereel/relay/timed_reports.hpp"
 
 #include <map>
 #include <optional>
@@ -70,16 +71,9 @@
     auto expire(time_point now) -> void;
 
 private:
-    template <class Message>
-    struct timed_message
-    {
-        Message message;
-        time_point at;
-    };
-
     poison_request_detector requests_;
-    std::vector<timed_message<crash_message>> own_crashes_;
-    std::vector<timed_message<cleared_message>> own_cleared_;
+    timed_reports<crash_message> own_crashes_;
+    timed_reports<cleared_message> own_cleared_;
 };
 
 } // namespace sapphirereel::relay
--- a/packages/relay/include/sapphirereel/relay/exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/exchange.hpp
@@ -36,13 +36,19 @@
 inline constexpr auto retry_elsewhere_after =
     duration{std::chrono::milliseconds{50}};
 
+/// Delay after which a caller may retry a request that crashes replicas. Crash
+/// records expire, as the replicas' software may have been fixed since.
+inline constexpr auto poison_retry_after = duration{std::chrono::seconds{60}};
+
 /// Why a request must end before its replica has answered.
 enum class interruption
 {
     /// Its deadline has passed.
     deadline,
     /// The daemon stops.
-    stop
+    stop,
+    /// A part of its prompt was found to crash replicas.
+    poison
 };
 
 /// The refusal and the error status with which an interruption ends a request:
@@ -98,9 +104,21 @@
     auto fail(int status, std::string_view why) -> void;
 
     /// Attributes a replica's crash to the request if the failure of a call
-    /// looks like one.
+    /// looks like one. The parts of its prompt are suspected unless the replica
+    /// had begun to answer.
     auto attribute_crash(
-        replica const& at, call_failure const& why, time_point now) -> void;
+        replica const& at,
+        call_failure const& why,
+        bool has_output,
+        time_point now) -> void;
+
+    /// Records that a replica has begun to answer the request, so that the
+    /// parts of its prompt are not suspected of crashing replicas.
+    auto record_output(time_point now) -> void;
+
+    /// Whether a part of the prompt is known to crash replicas, and the request
+    /// is no trial.
+    [[nodiscard]] auto is_poisoned() const -> bool;
 
     /// Records that a replica answered the request, so that it is not suspected
     /// of crashing replicas.
--- a/packages/relay/include/sapphirereel/relay/peer_report.hpp
+++ b/packages/relay/include/sapphirereel/relay/peer_report.hpp
@@ -7,6 +7,7 @@
 #include "sapphirereel/core/identifier.hpp"
 #include "sapphirereel/relay/crash_tracker.hpp"
 #include "sapphirereel/relay/log_position.hpp"
+#include "sapphirereel/relay/poison_part_tracker.hpp"
 #include "sapphirereel/relay/replica_table.hpp"
 
 #include <cstdint>
@@ -34,10 +35,12 @@
     auto operator<=>(leaving_replica const&) const = default;
 };
 
-/// Versions of the report's encoding: the one that daemons send each other, and
-/// the one before it, which knows neither eras nor zones of addresses.
-inline constexpr auto report_version = std::uint32_t{3};
-inline constexpr auto previous_report_version = std::uint32_t{2};
+/// Versions of the report's encoding: the one that daemons send each other; the
+/// one before it, which knows no prompt parts; and the one before that, which
+/// knows neither eras nor zones of addresses.
+inline constexpr auto report_version = std::uint32_t{4};
+inline constexpr auto previous_report_version = std::uint32_t{3};
+inline constexpr auto oldest_report_version = std::uint32_t{2};
 
 /// An address at which a daemon may run, and its zone if that is known.
 struct known_address
@@ -73,6 +76,8 @@
     load_report load;
     /// Replica crashes that it observed, and requests cleared of causing them.
     crash_reports crashes;
+    /// Replica crashes and rulings by prompt part.
+    part_reports parts;
     /// Addresses of other daemons that it knows.
     std::vector<known_address> known_addresses;
     /// Whether it asks for a report in return.
--- a/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
@@ -39,6 +39,8 @@
     peer_bytes_sent,
     peer_reports_received,
     peer_fetches,
+    part_crashes,
+    part_rulings,
     count_of_counters
 };
 
--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -40,10 +40,6 @@
 /// not received all that was sent to them.
 inline constexpr auto exit_margin = duration{std::chrono::milliseconds{150}};
 
-/// Delay after which a caller may retry a poison request. Crash records expire,
-/// as the replicas' software may have been fixed since.
-inline constexpr auto poison_retry_after = duration{std::chrono::seconds{60}};
-
 /// Most requests served at once.
 inline constexpr auto max_active_requests = std::size_t{1'500};
 
@@ -91,6 +87,9 @@
         state_.load_changed = [this] {
             peers_.schedule_report(report_scope::zone);
         };
+        state_.crash_recorded = [this] {
+            peers_.schedule_report(report_scope::all);
+        };
         state_.work_placed = [this] {
             peers_.send_report(report_scope::mesh);
         };
@@ -279,7 +278,9 @@
             send_refusal(*from, granted.error(), read->id, state_);
             return;
         }
-        if (crashes_replicas(*read, *granted))
+        auto const now = telemetry::monotonic_now();
+        if (crashes_replicas(*read, *granted) ||
+            has_poison_part(*read, *granted, now))
         {
             send_refusal(
                 *from,
@@ -287,7 +288,7 @@
                 read->id, state_);
             return;
         }
-        if (!accepts_now(*granted, telemetry::monotonic_now()))
+        if (!accepts_now(*granted, now))
         {
             send_refusal(
                 *from, {refusal_reason::stopping, 503, retry_elsewhere_after},
@@ -319,6 +320,26 @@
                    request_fingerprint(request, terms.customer));
     }
 
+    /// Whether a part of the request's prompt crashes replicas; marks the
+    /// request if it runs as a trial all the same.
+    auto has_poison_part(
+        caller_request const& request, grant& terms, time_point now) -> bool
+    {
+        auto const part = state_.parts.find_poison(request.prompt_parts);
+        if (!part)
+        {
+            return false;
+        }
+        terms.is_poison_trial =
+            state_.parts.take_trial(*part, state_.daemons, now);
+        state_.log.request(
+            request.id,
+            terms.is_poison_trial ? "trial of a part that crashed replicas"
+                                  : "a part of the prompt crashes replicas",
+            {{"part", *part}});
+        return !terms.is_poison_trial;
+    }
+
     /// Whether a request that arrives now is accepted as far as a planned stop
     /// is concerned.
     [[nodiscard]] auto accepts_now(grant const& terms, time_point now) const
@@ -343,6 +364,7 @@
         report.accepts_callers = is_ready();
         report.load = state_.replicas.own_load();
         report.crashes = state_.crashes.entries_to_report();
+        report.parts = state_.parts.entries_to_report();
         cluster_sync_.fill_report(report, telemetry::monotonic_now());
         return report;
     }
@@ -352,12 +374,48 @@
         state_.daemons = peers_.max_daemons();
         apply_load(report, now);
         state_.crashes.apply_report(report.crashes, now);
+        apply_part_reports(report.parts, now);
         if (cluster_sync_.apply_report(report, now))
         {
             cluster_sync_.update_reader_role(peers_.alive(now), now);
         }
     }
 
+    /// A ruling ends the requests that it concerns. In a large fleet news is
+    /// passed on, since daemons report to their zone and a few others.
+    auto apply_part_reports(part_reports const& reports, time_point now) -> void
+    {
+        auto const news =
+            state_.parts.apply_report(reports, peers_.is_zoned(), now);
+        if (news == part_news::ruling)
+        {
+            state_.metrics.add(relay_counter::part_rulings);
+            interrupt_requests(interruption::poison);
+        }
+        if (news != part_news::none && peers_.is_zoned())
+        {
+            peers_.schedule_report(report_scope::all);
+        }
+    }
+
+    /// Rules on parts that were at several crashes, and tells the peers.
+    auto update_parts(time_point now) -> void
+    {
+        auto const found = state_.parts.update(now);
+        for (auto const& part : found)
+        {
+            state_.metrics.add(relay_counter::part_rulings);
+            state_.log.warning(
+                "crashes", "a prompt part was found to crash replicas",
+                {{"part", part}});
+        }
+        if (!found.empty())
+        {
+            interrupt_requests(interruption::poison);
+            peers_.schedule_report(report_scope::all);
+        }
+    }
+
     /// In a large fleet the load of another zone is known only as a sum.
     auto apply_load(peer_report const& report, time_point now) -> void
     {
@@ -415,6 +473,7 @@
         });
         note_configuration(now);
         state_.crashes.expire(now);
+        update_parts(now);
         cluster_sync_.tick(now);
         tick_.expires_after(tick_interval);
         tick_.async_wait([this](std::error_code error) {
@@ -456,7 +515,10 @@
             stopping_for >= settings_.stop_limit - stop_margin;
         if (is_cut_due && !std::exchange(requests_interrupted_, true))
         {
-            interrupt_requests();
+            state_.log.info(
+                "stop", "interrupting the requests in progress",
+                {{"active", state_.open_exchanges.size()}});
+            interrupt_requests(interruption::stop);
         }
         auto const may_exit = stopping_for >= min_stop_time || is_cut_due;
         auto const is_done = may_exit && !is_in_use();
@@ -478,19 +540,20 @@
         });
     }
 
-    /// Ends the requests in progress: with an answer where none has begun.
-    auto interrupt_requests() -> void
+    /// Ends the requests that an interruption concerns: with an answer where
+    /// none has begun.
+    auto interrupt_requests(interruption why) -> void
     {
         auto const open = state_.open_exchanges;
-        state_.log.info(
-            "stop", "interrupting the requests in progress",
-            {{"active", open.size()}});
         for (auto* const each : open)
         {
             // The end of one request may end another.
-            if (state_.open_exchanges.contains(each))
+            auto const is_concerned =
+                state_.open_exchanges.contains(each) &&
+                (why != interruption::poison || each->is_poisoned());
+            if (is_concerned)
             {
-                each->interrupt(interruption::stop);
+                each->interrupt(why);
             }
         }
     }
--- a/packages/relay/include/sapphirereel/relay/relay_state.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_state.hpp
@@ -6,6 +6,7 @@
 #include "sapphirereel/core/length_estimate.hpp"
 #include "sapphirereel/relay/crash_tracker.hpp"
 #include "sapphirereel/relay/dispatch_policy.hpp"
+#include "sapphirereel/relay/poison_part_tracker.hpp"
 #include "sapphirereel/relay/process_log.hpp"
 #include "sapphirereel/relay/relay_metrics.hpp"
 #include "sapphirereel/relay/replica_table.hpp"
@@ -61,6 +62,7 @@
         , retry_terms(terms)
         , output_lengths(std::move(lengths))
         , random(seed)
+        , parts(seed)
     {}
 
     /// The retry share of a service.
@@ -89,6 +91,10 @@
     process_log log;
     relay_metrics metrics;
     crash_tracker crashes;
+    poison_part_tracker parts;
+    /// Called when this daemon has seen a crash that its peers must know of.
+    std::function<void()> crash_recorded = [] {
+    };
     /// Running streams by their replica.
     std::map<endpoint_id, std::set<leaving_listener*>> streams;
     /// Called when this daemon's count of the load on replicas has changed.
--- a/packages/relay/include/sapphirereel/relay/request_admission.hpp
+++ b/packages/relay/include/sapphirereel/relay/request_admission.hpp
@@ -37,6 +37,9 @@
     /// Time for which the caller waits, if the request states it.
     std::optional<duration> caller_timeout;
     std::optional<generation_size> generation;
+    /// The parts of the prompt that other requests may share, in order. The
+    /// last part of a prompt belongs to the request itself and is left out.
+    std::vector<digest> prompt_parts;
     /// Header fields to forward unchanged.
     http::field_list forwarded;
     std::string body;
@@ -83,6 +86,9 @@
     std::optional<customer_id> customer;
     /// Time by which the final answer must be sent.
     time_point deadline;
+    /// Whether the request runs to see whether a part of its prompt still
+    /// crashes replicas.
+    bool is_poison_trial = false;
 };
 
 /// Admits or refuses a request by the configuration in force; `table` is null
--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -157,6 +157,11 @@
 
     auto attempt() -> void
     {
+        if (exchange_.is_poisoned())
+        {
+            interrupted(interruption::poison);
+            return;
+        }
         auto const now = telemetry::monotonic_now();
         if (exchange_.remaining(now) < min_attempt_time)
         {
@@ -432,6 +437,7 @@
     /// event, also as a sample of the prefill rate.
     auto begin_response(time_point now) -> void
     {
+        exchange_.record_output(now);
         exchange_.caller->begin_stream(
             head_->status, head_->reason, Format::response_fields(*head_));
         exchange_.state.metrics.observe(
@@ -576,7 +582,7 @@
             return;
         }
         exchange_.state.replicas.failed(target_.id, now);
-        exchange_.attribute_crash(target_, why, now);
+        exchange_.attribute_crash(target_, why, events_.has_begun(), now);
         exchange_.state.log.request(
             exchange_.request.id, "replica lost",
             {{"replica", target_.id},
@@ -792,7 +798,11 @@
         auto const outcome = outcome_of(why);
         if (events_.has_begun())
         {
-            abort_stream(outcome.detail);
+            // A run that has produced output is not the one that crashes.
+            if (why != interruption::poison)
+            {
+                abort_stream(outcome.detail);
+            }
             return;
         }
         give_up(outcome.refusal, outcome.status, outcome.detail);
--- a/packages/relay/src/crash_tracker.cpp
+++ b/packages/relay/src/crash_tracker.cpp
@@ -11,12 +11,6 @@
 /// Time for which a crash counts against the requests that ran at the time.
 constexpr auto crash_retention = duration{std::chrono::minutes{10}};
 
-/// Time for which a crash is reported to peers: several periodic reports.
-constexpr auto report_lifetime = duration{std::chrono::seconds{6}};
-
-/// Maximum number of entries of each kind in one report.
-constexpr auto max_report_entries = std::size_t{12};
-
 auto settings() -> poison_request_settings
 {
     auto chosen = poison_request_settings{};
@@ -31,35 +25,6 @@
     return digest{fmt::format("{}@{}", which.id.str(), which.started_at_ms)};
 }
 
-template <class Timed>
-auto add_bounded(std::vector<Timed>& list, Timed each) -> void
-{
-    if (list.size() >= max_report_entries)
-    {
-        list.erase(list.begin());
-    }
-    list.push_back(std::move(each));
-}
-
-template <class Timed>
-auto messages_of(std::vector<Timed> const& list)
-{
-    auto messages = std::vector<decltype(Timed::message)>{};
-    for (auto const& each : list)
-    {
-        messages.push_back(each.message);
-    }
-    return messages;
-}
-
-template <class Timed>
-auto expire_reports(std::vector<Timed>& list, time_point now) -> void
-{
-    std::erase_if(list, [&](Timed const& each) {
-        return now - each.at > report_lifetime;
-    });
-}
-
 } // namespace
 
 auto request_fingerprint(
@@ -92,7 +57,7 @@
     auto message = crash_message{crash_id(which), {content}};
     if (requests_.record_crash(message, now))
     {
-        add_bounded(own_crashes_, {std::move(message), now});
+        own_crashes_.add(std::move(message), now);
     }
 }
 
@@ -101,7 +66,7 @@
 {
     if (auto message = requests_.record_completion(content, now))
     {
-        add_bounded(own_cleared_, {std::move(*message), now});
+        own_cleared_.add(std::move(*message), now);
     }
 }
 
@@ -120,14 +85,14 @@
 
 auto crash_tracker::entries_to_report() const -> crash_reports
 {
-    return {messages_of(own_crashes_), messages_of(own_cleared_)};
+    return {own_crashes_.messages(), own_cleared_.messages()};
 }
 
 auto crash_tracker::expire(time_point now) -> void
 {
     requests_.expire(now);
-    expire_reports(own_crashes_, now);
-    expire_reports(own_cleared_, now);
+    own_crashes_.expire(now);
+    own_cleared_.expire(now);
 }
 
 } // namespace sapphirereel::relay
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -57,9 +57,13 @@
     case interruption::deadline:
         return {refusal_reason::deadline, 504, "no answer in time"};
     case interruption::stop:
+        return {refusal_reason::stopping, 502, "the daemon stops"};
+    case interruption::poison:
         break;
     }
-    return {refusal_reason::stopping, 502, "the daemon stops"};
+    return {
+        refusal_reason::crashes_replicas, 502,
+        "a part of the prompt crashes replicas"};
 }
 
 auto exchange::pick_service() -> service_name
@@ -117,7 +121,8 @@
 }
 
 auto exchange::attribute_crash(
-    replica const& at, call_failure const& why, time_point now) -> void
+    replica const& at, call_failure const& why, bool has_output, time_point now)
+    -> void
 {
     // A draining replica terminates as planned, whatever it ran.
     auto const* const listed = state.replicas.find(at.id);
@@ -128,6 +133,15 @@
     {
         return;
     }
+    if (!has_output &&
+        state.parts.record_replica_crash(at, request.prompt_parts, now))
+    {
+        state.metrics.add(relay_counter::part_crashes);
+        state.log.request(
+            request.id, "parts of the prompt were at a crash",
+            {{"replica", at.id}, {"parts", request.prompt_parts.size()}});
+        state.crash_recorded();
+    }
     state.crashes.record_replica_crash(at, content(), now);
     if (state.crashes.is_poison(content()))
     {
@@ -137,6 +151,17 @@
     }
 }
 
+auto exchange::record_output(time_point now) -> void
+{
+    state.parts.record_output(request.prompt_parts, now);
+}
+
+auto exchange::is_poisoned() const -> bool
+{
+    return !granted.is_poison_trial &&
+           state.parts.find_poison(request.prompt_parts).has_value();
+}
+
 auto exchange::record_answer(time_point now) -> void
 {
     if (state.crashes.has_suspects())
@@ -163,6 +188,10 @@
     {
         return retry_elsewhere_after;
     }
+    if (why == refusal_reason::crashes_replicas)
+    {
+        return poison_retry_after;
+    }
     auto const base = std::chrono::duration<double, std::micro>(
         granted.route->target_latency * retry_after_share);
     auto const jitter =
--- a/packages/relay/src/peer_gossip.cpp
+++ b/packages/relay/src/peer_gossip.cpp
@@ -4,6 +4,7 @@
 #include "sapphirereel/telemetry/clocks.hpp"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace sapphirereel::relay {
@@ -62,24 +63,20 @@
 auto peer_gossip::send(std::vector<std::string> const& to, peer_report report)
     -> void
 {
-    report.version = report_version;
-    auto const present = write_peer_report(report);
-    report.version = previous_report_version;
-    auto previous = std::string{};
+    auto encoded = std::map<std::uint32_t, std::string>{};
     for (auto const& ip : to)
     {
-        // A daemon that has never reported may run either version, so it gets
-        // them in turn.
-        auto const version = peers_.version_of(ip).value_or(
+        // A daemon that has never reported may run either of the last two
+        // versions, so it gets them in turn.
+        report.version = peers_.version_of(ip).value_or(
             periodic_reports_ / reports_per_probe % 2 == 0
                 ? report_version
                 : previous_report_version);
-        if (version == previous_report_version && previous.empty())
+        auto& bytes = encoded[report.version];
+        if (bytes.empty())
         {
-            previous = write_peer_report(report);
+            bytes = write_peer_report(report);
         }
-        auto const& bytes =
-            version == previous_report_version ? previous : present;
         metrics_.add(relay_counter::peer_reports_sent);
         metrics_.add(relay_counter::peer_bytes_sent, bytes.size());
         datagrams_->send(ip, bytes);
--- a/packages/relay/src/peer_report.cpp
+++ b/packages/relay/src/peer_report.cpp
@@ -36,13 +36,18 @@
     crashes_at,
     cleared_at,
     known_addresses_at,
-    previous_field_count,
-    /// Fields that the previous version does not have.
-    configuration_era_at = previous_field_count,
+    oldest_field_count,
+    /// Fields that the oldest version does not have.
+    configuration_era_at = oldest_field_count,
     replicas_era_at,
     lapse_grace_at,
     wants_reply_at,
     zone_load_at,
+    previous_field_count,
+    /// Fields that the previous version does not have.
+    part_crashes_at = previous_field_count,
+    cleared_parts_at,
+    part_rulings_at,
     field_count
 };
 
@@ -66,16 +71,16 @@
 }
 
 auto write_leaving(
-    packer& to, std::vector<leaving_replica> const& leaving, bool is_previous)
+    packer& to, std::vector<leaving_replica> const& leaving, bool is_oldest)
     -> void
 {
     pack_array(to, leaving.size());
     for (auto const& each : leaving)
     {
-        pack_array(to, is_previous ? 2 : 6);
+        pack_array(to, is_oldest ? 2 : 6);
         to.pack(each.id.str());
         to.pack(each.position.offset);
-        if (!is_previous)
+        if (!is_oldest)
         {
             to.pack(each.position.era);
             to.pack(each.started_at_ms);
@@ -112,18 +117,18 @@
     }
 }
 
-/// The previous version lists addresses, the present one lists of a zone and
+/// The oldest version lists addresses, the present one lists of a zone and
 /// its addresses.
 auto write_addresses(
-    packer& to, std::vector<known_address> const& addresses, bool is_previous)
+    packer& to, std::vector<known_address> const& addresses, bool is_oldest)
     -> void
 {
     auto zones = std::map<zone_name, std::vector<std::string>>{};
     for (auto const& each : addresses)
     {
-        zones[is_previous ? zone_name{} : each.zone].push_back(each.ip);
+        zones[is_oldest ? zone_name{} : each.zone].push_back(each.ip);
     }
-    if (is_previous)
+    if (is_oldest)
     {
         to.pack(zones[zone_name{}]);
         return;
@@ -140,7 +145,35 @@
     }
 }
 
-/// Writes the fields that the previous version does not have.
+/// Number of fields of a version; none if the version is not known.
+auto field_count_of(std::uint32_t version) -> std::optional<std::size_t>
+{
+    switch (version)
+    {
+    case oldest_report_version:
+        return oldest_field_count;
+    case previous_report_version:
+        return previous_field_count;
+    case report_version:
+        return field_count;
+    default:
+        return std::nullopt;
+    }
+}
+
+auto write_parts(packer& to, part_reports const& reports) -> void
+{
+    write_crashes(to, {reports.crashes, reports.cleared});
+    pack_array(to, reports.rulings.size());
+    for (auto const& each : reports.rulings)
+    {
+        pack_array(to, 2);
+        to.pack(each.part.str());
+        to.pack(each.number);
+    }
+}
+
+/// Writes the fields that the oldest version does not have.
 auto write_present_fields(packer& to, peer_report const& report) -> void
 {
     to.pack(report.configuration_next.era);
@@ -219,13 +252,13 @@
     return loads;
 }
 
-auto read_leaving(msgpack::object const& from, bool is_previous)
+auto read_leaving(msgpack::object const& from, bool is_oldest)
     -> leaving_replica
 {
     auto const fields = list_reader{from};
     auto which = leaving_replica{
         endpoint_id{fields.get<std::string>(0)}, fields.get<std::uint64_t>(1)};
-    if (!is_previous)
+    if (!is_oldest)
     {
         which.position.era = fields.get<std::uint64_t>(2);
         which.started_at_ms = fields.get<std::uint64_t>(3);
@@ -264,13 +297,28 @@
     return reports;
 }
 
-auto read_addresses(msgpack::object const& from, bool is_previous)
+auto read_parts(list_reader const& fields) -> part_reports
+{
+    auto crashes =
+        read_crashes(fields.at(part_crashes_at), fields.at(cleared_parts_at));
+    auto reports =
+        part_reports{std::move(crashes.deaths), std::move(crashes.cleared), {}};
+    for (auto const& each : list_reader{fields.at(part_rulings_at)})
+    {
+        auto const ruling = list_reader{each};
+        reports.rulings.push_back(
+            {digest{ruling.get<std::string>(0)}, ruling.get<std::uint32_t>(1)});
+    }
+    return reports;
+}
+
+auto read_addresses(msgpack::object const& from, bool is_oldest)
     -> std::vector<known_address>
 {
     auto addresses = std::vector<known_address>{};
     for (auto const& each : list_reader{from})
     {
-        if (is_previous)
+        if (is_oldest)
         {
             addresses.push_back({each.as<std::string>(), zone_name{}});
             continue;
@@ -285,7 +333,7 @@
     return addresses;
 }
 
-/// Reads the fields that the previous version does not have.
+/// Reads the fields that the oldest version does not have.
 auto read_present_fields(list_reader const& fields, peer_report& into) -> void
 {
     into.configuration_next.era =
@@ -304,14 +352,11 @@
     auto const fields = list_reader{from};
     auto report = peer_report{};
     report.version = fields.get<std::uint32_t>(version_at);
-    auto const is_previous = report.version == previous_report_version &&
-                             fields.size() == previous_field_count;
-    auto const is_present =
-        report.version == report_version && fields.size() == field_count;
-    if (!is_previous && !is_present)
+    if (field_count_of(report.version) != fields.size())
     {
         return std::nullopt;
     }
+    auto const is_oldest = report.version == oldest_report_version;
     report.ip = fields.get<std::string>(ip_at);
     report.incarnation = fields.get<std::uint64_t>(incarnation_at);
     report.sequence = fields.get<std::uint64_t>(sequence_at);
@@ -324,16 +369,20 @@
     report.replicas_next = fields.get<std::uint64_t>(replicas_next_at);
     for (auto const& each : list_reader{fields.at(leaving_at)})
     {
-        report.leaving.push_back(read_leaving(each, is_previous));
+        report.leaving.push_back(read_leaving(each, is_oldest));
     }
     report.load = read_load(fields.at(load_at));
     report.crashes = read_crashes(fields.at(crashes_at), fields.at(cleared_at));
     report.known_addresses =
-        read_addresses(fields.at(known_addresses_at), is_previous);
-    if (is_present)
+        read_addresses(fields.at(known_addresses_at), is_oldest);
+    if (!is_oldest)
     {
         read_present_fields(fields, report);
     }
+    if (report.version == report_version)
+    {
+        report.parts = read_parts(fields);
+    }
     return report;
 }
 
@@ -341,10 +390,10 @@
 
 auto write_peer_report(peer_report const& report) -> std::string
 {
-    auto const is_previous = report.version == previous_report_version;
+    auto const is_oldest = report.version == oldest_report_version;
     auto buffer = msgpack::sbuffer{};
     auto to = packer{buffer};
-    pack_array(to, is_previous ? previous_field_count : field_count);
+    pack_array(to, field_count_of(report.version).value_or(field_count));
     to.pack(report.version);
     to.pack(report.ip);
     to.pack(report.incarnation);
@@ -355,14 +404,18 @@
     to.pack(report.is_log_reachable);
     to.pack(report.configuration_next.offset);
     to.pack(report.replicas_next.offset);
-    write_leaving(to, report.leaving, is_previous);
+    write_leaving(to, report.leaving, is_oldest);
     write_load(to, report.load);
     write_crashes(to, report.crashes);
-    write_addresses(to, report.known_addresses, is_previous);
-    if (!is_previous)
+    write_addresses(to, report.known_addresses, is_oldest);
+    if (!is_oldest)
     {
         write_present_fields(to, report);
     }
+    if (report.version == report_version)
+    {
+        write_parts(to, report.parts);
+    }
     return {buffer.data(), buffer.size()};
 }
 
--- a/packages/relay/src/relay_metrics.cpp
+++ b/packages/relay/src/relay_metrics.cpp
@@ -37,7 +37,9 @@
     "peer_reports_sent",
     "peer_bytes_sent",
     "peer_reports_received",
-    "peer_fetches"};
+    "peer_fetches",
+    "part_crashes",
+    "part_rulings"};
 
 constexpr auto timing_names = std::array<
     std::string_view,
--- a/test/correctness/relay/restored_logs_undo_nothing.cpp
+++ b/test/correctness/relay/restored_logs_undo_nothing.cpp
@@ -69,15 +69,18 @@
     EXPECT_EQ(read_copy_path(copy_path(asked)), asked);
 }
 
-TEST(peer_report, of_the_previous_version_is_understood)
+TEST(peer_report, of_an_earlier_version_is_understood)
 {
     auto report = peer_report{};
     report.ip = "10.0.0.1";
     report.configuration_next = 9;
     report.leaving = {{endpoint_id{"a"}, 11}};
     report.known_addresses = {{"10.0.0.2", {}}};
-    report.version = previous_report_version;
-    EXPECT_EQ(read_peer_report(write_peer_report(report)), report);
+    for (auto const version : {oldest_report_version, previous_report_version})
+    {
+        report.version = version;
+        EXPECT_EQ(read_peer_report(write_peer_report(report)), report);
+    }
 }
 
 TEST(leaving_replica, does_not_come_back_with_a_record_of_a_restored_log)
--- a/test/fuzz/relay/peer_reports_survive_the_round_trip.cpp
+++ b/test/fuzz/relay/peer_reports_survive_the_round_trip.cpp
@@ -24,6 +24,10 @@
     report.crashes = {
         {{digest{"d"}, {digest{"c1"}, digest{"c2"}}}},
         {{digest{"c1"}, {digest{"d"}}}}};
+    report.parts = {
+        {{digest{"r@1#1"}, {digest{"5c1e07a2"}}}},
+        {{digest{"91bd3f06"}, {digest{"r@1#1"}}}},
+        {{digest{"e4402b7d"}, 3}}};
     report.known_addresses = {{"10.0.0.2", zone_name{"y"}}};
     EXPECT_EQ(read_peer_report(write_peer_report(report)), report);
 }
@@ -40,6 +44,7 @@
     auto report = peer_report{};
     report.ip = "10.0.0.1";
     report.leaving = {{endpoint_id{"a"}, 11}};
+    report.parts.rulings = {{digest{"e4402b7d"}, 3}};
     auto bytes = write_peer_report(report);
     auto const at = *rc::gen::inRange<std::size_t>(0, bytes.size());
     bytes[at] = *rc::gen::arbitrary<char>();
