--- a/packages/http/include/sapphirereel/http/message.hpp
+++ b/packages/http/include/sapphirereel/http/message.hpp
@@ -44,6 +44,8 @@
     std::string body;
     /// Whether the connection may carry another request afterwards.
     bool keep_alive = true;
+    /// Whether the sender can read a chunked response, as of HTTP/1.1.
+    bool accepts_chunks = true;
     auto operator<=>(request const&) const = default;
 };
 
@@ -55,6 +57,9 @@
     field_list fields;
     /// Whether the connection may carry another response afterwards.
     bool keep_alive = true;
+    /// Whether the body has neither a length nor chunks, so that the end of the
+    /// connection ends it.
+    bool ends_with_connection = false;
     auto operator<=>(response_head const&) const = default;
 };
 
--- a/packages/http/src/request_parser.cpp
+++ b/packages/http/src/request_parser.cpp
@@ -88,6 +88,9 @@
 
 namespace {
 
+/// The version of HTTP, times ten, that introduced chunks.
+constexpr auto first_chunked_version = 11U;
+
 auto read_fields(beast_parser const& parser) -> request
 {
     auto head = request{};
@@ -95,6 +98,7 @@
     head.method = std::string{message.method_string()};
     head.target = std::string{message.target()};
     head.keep_alive = parser.keep_alive();
+    head.accepts_chunks = message.version() >= first_chunked_version;
     for (auto const& each : message)
     {
         head.fields.push_back(
--- a/packages/http/src/response_parser.cpp
+++ b/packages/http/src/response_parser.cpp
@@ -19,6 +19,7 @@
     head.status = static_cast<int>(message.result_int());
     head.reason = std::string{message.reason()};
     head.keep_alive = parser.keep_alive();
+    head.ends_with_connection = parser.need_eof();
     for (auto const& each : message)
     {
         head.fields.push_back(
--- a/packages/relay/include/sapphirereel/relay/caller_session.hpp
+++ b/packages/relay/include/sapphirereel/relay/caller_session.hpp
@@ -41,7 +41,8 @@
     auto respond(int status, http::field_list fields, std::string_view body)
         -> void;
 
-    /// Starts a chunked response, appends to it, and ends it.
+    /// Starts a chunked response, appends to it, and ends it. For a caller of
+    /// HTTP/1.0 the end of the connection ends the response.
     auto begin_stream(
         int status, std::string_view reason, http::field_list fields) -> void;
     auto stream(std::string_view bytes) -> void;
@@ -117,6 +118,8 @@
     /// Whether a streamed response has begun.
     bool streaming_ = false;
     bool keep_alive_ = true;
+    /// Whether the caller of the present request can read chunks.
+    bool accepts_chunks_ = true;
     bool stopping_ = false;
     /// Whether the timer limits the time to receive a request's head instead of
     /// the idle time.
--- a/packages/relay/include/sapphirereel/relay/connection.hpp
+++ b/packages/relay/include/sapphirereel/relay/connection.hpp
@@ -80,6 +80,10 @@
 
     auto close() -> void;
 
+    /// Closes the connection at once with a reset, so that its end can't be
+    /// taken for the end of a message.
+    auto reset() -> void;
+
     /// Whether the connection can carry more bytes to the peer.
     [[nodiscard]] auto is_open() const -> bool;
 
--- a/packages/relay/include/sapphirereel/relay/run_migrator.hpp
+++ b/packages/relay/include/sapphirereel/relay/run_migrator.hpp
@@ -68,6 +68,17 @@
     auto operator<=>(migration_destination const&) const = default;
 };
 
+/// How a migration failed.
+enum class migration_failure
+{
+    /// The run continues on its replica.
+    while_running,
+    /// The run was being stopped and had ended by itself.
+    run_ended,
+    /// The run was being stopped, and may have been.
+    while_stopping
+};
+
 /// A run that was stopped to resume elsewhere.
 struct stopped_run
 {
@@ -94,9 +105,8 @@
         std::function<std::optional<migration_destination>()> choose;
         /// Called when the run has been stopped.
         std::function<void(stopped_run const&)> stopped;
-        /// Called when the migration has failed. The run continues on its
-        /// replica, unless it was being stopped.
-        std::function<void(bool was_stopping)> not_migrated;
+        /// Called when the migration has failed.
+        std::function<void(migration_failure how)> not_migrated;
         /// Called when a destination has not enough memory for the run.
         std::function<void(replica const&)> refused;
     };
@@ -303,7 +313,10 @@
         {
             // The run may have completed in the meantime; its stream shows
             // that.
-            give_up();
+            give_up(
+                read.outcome == migration_outcome::unknown_run
+                    ? migration_failure::run_ended
+                    : migration_failure::while_stopping);
             return;
         }
         auto const is_copied = read.outcome == migration_outcome::copied;
@@ -316,10 +329,16 @@
 
     auto give_up() -> void
     {
-        auto const was_stopping = is_stopping();
+        give_up(
+            is_stopping() ? migration_failure::while_stopping
+                          : migration_failure::while_running);
+    }
+
+    auto give_up(migration_failure how) -> void
+    {
         cancel();
         state_.metrics.add(relay_counter::stream_moves_failed);
-        callbacks_.not_migrated(was_stopping);
+        callbacks_.not_migrated(how);
     }
 
     relay_state& state_;
--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -261,6 +261,7 @@
         splitter_ = {};
         head_.reset();
         source_ended_ = false;
+        ended_between_events_ = false;
         backup_.choose(
             {need(), target_, expected_output_}, exchange_.engine(), now);
         load_.place(
@@ -508,11 +509,30 @@
             handle_other_response(now);
             return;
         }
-        if (splitter_.has_partial())
+        auto const is_unframed = head_->ends_with_connection;
+        if (is_unframed && (migrator_.is_stopping() || stopped_))
         {
-            abort_stream("the stream ended within an event");
+            // A replica that stops a run ends its connection in the same way.
+            source_ended_ = true;
+            ended_between_events_ = !splitter_.has_partial();
+            resume_if_stopped();
+            return;
+        }
+        auto const has_events = events_.has_begun() && !is_resuming_;
+        if (splitter_.has_partial() || (is_unframed && !has_events))
+        {
+            source_failed(
+                {call_stage::answering,
+                 has_events ? "the stream ended within an event"
+                            : "the stream ended before its first event",
+                 is_unframed});
             return;
         }
+        complete(now);
+    }
+
+    auto complete(time_point now) -> void
+    {
         exchange_.state.replicas.succeeded(target_.id);
         exchange_.record_answer(now);
         finish(now);
@@ -617,7 +637,7 @@
                 stopped_ = run;
                 resume_if_stopped();
             },
-            [this](bool was_stopping) { migration_failed(was_stopping); },
+            [this](migration_failure how) { migration_failed(how); },
             [this](replica const& which) {
                 exchange_.excluded.insert(which.id);
             }};
@@ -637,12 +657,19 @@
         return migration_destination{chosen->target, requirement.memory_tokens};
     }
 
-    auto migration_failed(bool was_stopping) -> void
+    auto migration_failed(migration_failure how) -> void
     {
-        auto const cannot_resume =
-            was_stopping && source_ended_ &&
-            !resume_from_backup(telemetry::monotonic_now());
-        if (cannot_resume)
+        if (how == migration_failure::while_running || !source_ended_)
+        {
+            return;
+        }
+        auto const now = telemetry::monotonic_now();
+        if (how == migration_failure::run_ended && ended_between_events_)
+        {
+            complete(now);
+            return;
+        }
+        if (!resume_from_backup(now))
         {
             abort_stream("the run was not stopped in good order");
         }
@@ -853,6 +880,8 @@
     bool is_signed_ = false;
     bool not_run_ = false;
     bool source_ended_ = false;
+    /// Whether a stream without framing ended where it may be complete.
+    bool ended_between_events_ = false;
     bool drained_while_resuming_ = false;
     bool is_complete_ = false;
 };
--- a/packages/relay/src/caller_session.cpp
+++ b/packages/relay/src/caller_session.cpp
@@ -92,6 +92,7 @@
     timing_head_ = false;
     timer_.cancel();
     keep_alive_ = (*next)->keep_alive && !stopping_;
+    accepts_chunks_ = (*next)->accepts_chunks;
     on_request_(shared_from_this(), std::move(**next));
 }
 
@@ -158,21 +159,28 @@
 auto caller_session::begin_stream(
     int status, std::string_view reason, http::field_list fields) -> void
 {
+    keep_alive_ = keep_alive_ && !stopping_ && accepts_chunks_;
     connection_fields(fields);
-    keep_alive_ = keep_alive_ && !stopping_;
-    fields.push_back({"Transfer-Encoding", "chunked"});
+    if (accepts_chunks_)
+    {
+        fields.push_back({"Transfer-Encoding", "chunked"});
+    }
     streaming_ = true;
     connection_->send(http::write_head(status, reason, fields));
 }
 
 auto caller_session::stream(std::string_view bytes) -> void
 {
-    connection_->send(http::write_chunk(bytes));
+    connection_->send(
+        accepts_chunks_ ? http::write_chunk(bytes) : std::string{bytes});
 }
 
 auto caller_session::finish_stream() -> void
 {
-    connection_->send(std::string{http::last_chunk});
+    if (accepts_chunks_)
+    {
+        connection_->send(std::string{http::last_chunk});
+    }
     response_completed();
 }
 
@@ -210,6 +218,11 @@
     disconnect_handler_ = {};
     drain_handler_ = {};
     timer_.cancel();
+    if (streaming_ && !accepts_chunks_)
+    {
+        connection_->reset();
+        return;
+    }
     connection_->close();
 }
 
--- a/packages/relay/src/connection.cpp
+++ b/packages/relay/src/connection.cpp
@@ -284,6 +284,13 @@
     socket_.close(ignored);
 }
 
+auto connection::reset() -> void
+{
+    auto ignored = std::error_code{};
+    socket_.set_option(asio::socket_base::linger{true, 0}, ignored);
+    close();
+}
+
 auto connection::is_closed() const -> bool
 {
     return !socket_.is_open();
--- a/test/support/relay/raw_caller.hpp
+++ b/test/support/relay/raw_caller.hpp
@@ -42,12 +42,14 @@
             asio::buffer(buffer.data(), std::min(most, buffer.size())), error);
         received.append(buffer.data(), size);
         is_ended = is_ended || (error && error != asio::error::would_block);
+        was_reset = was_reset || error == asio::error::connection_reset;
         return size > 0;
     }
 
     std::string received;
     /// Whether the other side has closed or reset the connection.
     bool is_ended = false;
+    bool was_reset = false;
 
 private:
     asio::ip::tcp::socket socket_;
--- a/test/support/relay/relay_fixture.hpp
+++ b/test/support/relay/relay_fixture.hpp
@@ -216,13 +216,23 @@
         std::string const& service,
         fake_replica const& replica,
         std::string const& state = "ready") -> void
+    {
+        add_at(id, service, replica.port, state);
+    }
+
+    /// The same for a replica at a port.
+    auto add_at(
+        std::string const& id,
+        std::string const& service,
+        std::uint16_t port,
+        std::string const& state = "ready") -> void
     {
         log.write(
             keyed_stream::replicas, id,
             fmt::format(
                 R"({{"service":"{}","address":"{}:{}","zone":"z",)"
                 R"("slots":4,"state":"{}"}})",
-                service, process_loopback_ip(), replica.port, state));
+                service, process_loopback_ip(), port, state));
     }
 
     /// Writes a configuration to the log: routes /safe/, /once/ and /stream/,
