Reports: keep two daemons of one version from settling on an earlier one

A daemon that had not heard a peer could send it a report of the previous version, and the peer then answered in that for good, so that the two never exchanged what only the present version holds. Eras are filled in only for daemons of the oldest version: the previous one names them.

--- a/packages/relay/include/sapphirereel/relay/cluster_sync.hpp
+++ b/packages/relay/include/sapphirereel/relay/cluster_sync.hpp
@@ -526,8 +526,8 @@
         auto changed = false;
         for (auto each : report.leaving)
         {
-            // Daemons of the previous version name no era.
-            if (report.version < report_version)
+            // Daemons of the oldest version name no era.
+            if (report.version <= oldest_report_version)
             {
                 each.position.era = replicas_.cache().next().era;
             }
--- a/packages/relay/include/sapphirereel/relay/peer_gossip.hpp
+++ b/packages/relay/include/sapphirereel/relay/peer_gossip.hpp
@@ -96,6 +96,9 @@
     auto ask_contacts(time_point now) -> void;
     /// Sends a report to each address, in the encoding that its daemon reads.
     auto send(std::vector<std::string> const& to, peer_report report) -> void;
+    /// Encoding in which a report to an address is sent.
+    [[nodiscard]] auto version_for(std::string const& ip) const
+        -> std::uint32_t;
     auto log_liveness_changes(time_point now) -> void;
 
     asio::io_context& loop_;
--- a/packages/relay/src/peer_gossip.cpp
+++ b/packages/relay/src/peer_gossip.cpp
@@ -66,12 +66,7 @@
     auto encoded = std::map<std::uint32_t, std::string>{};
     for (auto const& ip : to)
     {
-        // A daemon that has never reported may run either of the last two
-        // versions, so it gets them in turn.
-        report.version = peers_.version_of(ip).value_or(
-            periodic_reports_ / reports_per_probe % 2 == 0
-                ? report_version
-                : previous_report_version);
+        report.version = version_for(ip);
         auto& bytes = encoded[report.version];
         if (bytes.empty())
         {
@@ -83,6 +78,21 @@
     }
 }
 
+/// A daemon that has never reported may run either of the last two versions, so
+/// it gets them in turn. One that reported in an earlier version may have taken
+/// this one to know no other; it gets the present version now and then.
+auto peer_gossip::version_for(std::string const& ip) const -> std::uint32_t
+{
+    auto const turn = periodic_reports_ / reports_per_probe;
+    auto const heard = peers_.version_of(ip);
+    if (!heard)
+    {
+        return turn % 2 == 0 ? report_version : previous_report_version;
+    }
+    auto const is_probe = periodic_reports_ % reports_per_probe == 1;
+    return is_probe ? report_version : *heard;
+}
+
 auto peer_gossip::send_report(report_scope scope) -> void
 {
     auto const now = telemetry::monotonic_now();
