BUDGET: count each crash once, and rule only on what a crash can show

Change: crashes are remembered by name for 60 s, incidents by part up to the number that a ruling needs; crashes within 300 ms are one incident. Only a connection that the replica ended, in order or with a reset, is a crash. A ruling waits until a request without the part has output, 10 s at most. Output seen in the last second answers a ruling, and a clearance of a crash on which it rests releases the part. Of equal suspects the one in fewer requests is taken. A trial is of one part and ends with its crash; it is decided last.

--- a/packages/core/include/sapphirereel/core/poison_part.hpp
+++ b/packages/core/include/sapphirereel/core/poison_part.hpp
@@ -38,11 +38,19 @@
     /// The same for a part that has produced output before.
     std::uint32_t crashes_of_proven_part = 5;
     /// Crashes that follow each other within this time are one incident: they
-    /// may have a common cause, such as a lost rack.
-    duration incident_length = std::chrono::milliseconds(100);
+    /// may have a common cause, such as a lost rack, and are reported with
+    /// different delays.
+    duration incident_length = std::chrono::milliseconds(300);
     /// Time after the last needed crash in which output, or another daemon's
     /// report of output, still clears a part.
     duration settle_time = std::chrono::milliseconds(500);
+    /// Time for which a ruling waits until a request without the part has
+    /// output; if none has, the endpoints may all be lost.
+    duration silence_limit = std::chrono::seconds(10);
+    /// Time for which output of a part contradicts a ruling of another daemon.
+    duration contradiction_time = std::chrono::seconds(1);
+    /// Time for which a crash that was heard of is told from a new one.
+    duration crash_memory = std::chrono::seconds(60);
     /// Time after which a part that is not refused is forgotten, counted from
     /// its last crash or output.
     duration memory = std::chrono::minutes(10);
@@ -52,10 +60,8 @@
     duration trial_interval = std::chrono::seconds(60);
     duration most_trial_interval = std::chrono::hours(1);
     /// Most parts recorded; those longest without a crash or output are dropped
-    /// first, refused ones last.
+    /// first, suspects later and refused ones last.
     std::size_t most_parts = 1'024;
-    /// Most crashes recorded for a part; the oldest are dropped first.
-    std::size_t most_crashes = 16;
     /// Seeds the times of trials.
     std::uint64_t seed = 0;
     auto operator<=>(poison_part_settings const&) const = default;
@@ -83,6 +89,11 @@
     static auto create(poison_part_settings const& settings)
         -> result<poison_part_detector>;
 
+    /// Counts a request with these parts. Of two parts at the same crashes the
+    /// one in fewer requests is the likelier cause.
+    auto record_request(std::vector<digest> const& parts, time_point now)
+        -> void;
+
     /// Records a crash, seen here or received by gossip; `in_flight` lists the
     /// parts of the requests that had produced no output. True if the message
     /// contained anything new.
@@ -118,6 +129,9 @@
     /// The newest rulings, to be sent with each report.
     [[nodiscard]] auto rulings() const -> std::vector<part_ruling>;
 
+    /// Whether one more crash may convict the part.
+    [[nodiscard]] auto is_almost_due(digest const& part) const -> bool;
+
     /// Whether any part is suspected or refused.
     [[nodiscard]] auto has_suspects() const -> bool
     {
@@ -125,17 +139,27 @@
     }
 
 private:
-    struct crash_record
+    /// A crash, or the first of several at about the same time.
+    struct incident
+    {
+        digest crash;
+        time_point at{};
+    };
+    /// The parts of which a crash was reported or cleared.
+    struct known_crash
     {
+        std::set<digest> parts;
         time_point at{};
-        bool is_cleared = false;
     };
     struct part_record
     {
-        std::map<digest, crash_record> crashes;
+        /// Incidents without output since, the oldest first, as many as a
+        /// ruling needs. After a ruling: those on which it rests.
+        std::vector<incident> incidents;
         time_point touched_at{};
-        /// Whether it has ever produced output.
-        bool is_proven = false;
+        std::uint64_t requests = 0;
+        /// When it has last produced output, here or as reported.
+        std::optional<time_point> output_at;
         std::uint32_t ruling = 0;
         time_point ruled_at{};
         /// Where in the interval of trials this daemon's turn is, 0 to 1.
@@ -146,7 +170,11 @@
     struct due_part
     {
         digest part;
+        /// Whether it has produced output, and the requests that held it; the
+        /// less of either, the likelier it is the cause.
         bool is_proven = false;
+        std::uint64_t requests = 0;
+        auto operator<=>(due_part const&) const = default;
     };
 
     explicit poison_part_detector(poison_part_settings const& settings)
@@ -157,17 +185,24 @@
     auto record_of(digest const& part, time_point now) -> part_record&;
     auto record_failed_trial(crash_message const& message, time_point now)
         -> bool;
-    auto clear(
-        digest const& part, std::vector<digest> const& crashes, time_point now)
+    auto note_crash(digest const& crash, digest const& part, time_point now)
         -> bool;
-    auto forget_if_cleared(digest const& part) -> void;
-    auto drop_oldest_crashes(part_record& record) const -> void;
+    auto add_incident(digest const& crash, digest const& part, time_point now)
+        -> void;
+    auto remove_incidents(
+        digest const& part, std::vector<digest> const& crashes) -> bool;
+    [[nodiscard]] auto needed_incidents(part_record const& record) const
+        -> std::size_t;
+    [[nodiscard]] auto is_poison(part_record const& record) const -> bool
+    {
+        return record.ruling % 2 == 1;
+    }
     [[nodiscard]] auto due_since(part_record const& record) const
         -> std::optional<time_point>;
     [[nodiscard]] auto due_parts(time_point now) const -> std::vector<due_part>;
     auto set_ruling(digest const& part, std::uint32_t number, time_point now)
         -> void;
-    auto remove_explained_crashes(digest const& cause) -> void;
+    auto remove_explained_incidents(digest const& cause) -> void;
     auto drop_expired(time_point now) -> void;
     auto evict_oldest() -> void;
     [[nodiscard]] auto trial_interval(std::uint32_t ruling) const -> duration;
@@ -175,8 +210,11 @@
     poison_part_settings settings_;
     std::mt19937_64 random_;
     std::map<digest, part_record> parts_;
-    /// Parts with crashes that are not cleared.
+    std::map<digest, known_crash> crashes_;
+    /// Parts with incidents and no ruling that rests on them.
     std::set<digest> suspects_;
+    /// When any request has last produced output.
+    std::optional<time_point> output_at_;
     /// Parts with a ruling.
     std::set<digest> ruled_;
     time_point expired_at_{};
--- a/packages/core/src/poison_part.cpp
+++ b/packages/core/src/poison_part.cpp
@@ -1,6 +1,7 @@
 #include "sapphirereel/core/poison_part.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace sapphirereel {
@@ -36,10 +37,6 @@
             settings.crashes <= settings.crashes_of_proven_part,
         "crashes", "is 1, or more than crashes_of_proven_part",
         "give 2 or more, and no more than crashes_of_proven_part");
-    check(
-        settings.most_crashes >= settings.crashes_of_proven_part,
-        "most_crashes", "is less than crashes_of_proven_part",
-        "give crashes_of_proven_part or more");
     check(
         settings.most_parts > 0, "most_parts", "no part would be recorded",
         "give a number above 0");
@@ -50,6 +47,16 @@
     return poison_part_detector{settings};
 }
 
+auto poison_part_detector::record_request(
+    std::vector<digest> const& parts, time_point now) -> void
+{
+    for (auto const& part : parts)
+    {
+        ++record_of(part, now).requests;
+    }
+    evict_oldest();
+}
+
 auto poison_part_detector::record_crash(
     crash_message const& message, time_point now) -> bool
 {
@@ -61,21 +68,40 @@
     auto is_new = false;
     for (auto const& part : message.in_flight)
     {
-        auto& record = record_of(part, now);
-        auto const added =
-            record.crashes.try_emplace(message.death, crash_record{now, false});
-        if (!added.second)
+        if (note_crash(message.death, part, now))
         {
-            continue;
+            is_new = true;
+            add_incident(message.death, part, now);
         }
-        is_new = true;
-        suspects_.insert(part);
-        drop_oldest_crashes(record);
     }
     evict_oldest();
     return is_new;
 }
 
+/// Whether the crash of a part was not known, reported or cleared.
+auto poison_part_detector::note_crash(
+    digest const& crash, digest const& part, time_point now) -> bool
+{
+    auto& known =
+        crashes_.try_emplace(crash, known_crash{{}, now}).first->second;
+    return known.parts.insert(part).second;
+}
+
+auto poison_part_detector::add_incident(
+    digest const& crash, digest const& part, time_point now) -> void
+{
+    auto& record = record_of(part, now);
+    auto const is_same_incident =
+        !record.incidents.empty() &&
+        now - record.incidents.back().at < settings_.incident_length;
+    suspects_.insert(part);
+    if (!is_same_incident &&
+        record.incidents.size() < settings_.crashes_of_proven_part)
+    {
+        record.incidents.push_back({crash, now});
+    }
+}
+
 auto poison_part_detector::record_failed_trial(
     crash_message const& message, time_point now) -> bool
 {
@@ -96,26 +122,24 @@
     std::vector<digest> const& parts, time_point now)
     -> std::vector<cleared_message>
 {
+    output_at_ = now;
     auto cleared = std::vector<cleared_message>{};
     for (auto const& part : parts)
     {
         auto& record = record_of(part, now);
-        record.is_proven = true;
+        record.output_at = now;
         auto message = cleared_message{part, {}};
-        for (auto const& [death, crash] : record.crashes)
+        for (auto const& each : record.incidents)
         {
-            if (!crash.is_cleared)
-            {
-                message.deaths.push_back(death);
-            }
+            message.deaths.push_back(each.crash);
         }
-        if (record.ruling % 2 == 1)
+        if (is_poison(record))
         {
             set_ruling(part, record.ruling + 1, now);
         }
         if (!message.deaths.empty())
         {
-            clear(part, message.deaths, now);
+            remove_incidents(part, message.deaths);
             cleared.push_back(std::move(message));
         }
     }
@@ -123,61 +147,48 @@
     return cleared;
 }
 
+/// A crash that is not known yet counts as known from here on.
 auto poison_part_detector::apply(cleared_message const& message, time_point now)
     -> bool
 {
-    auto const is_new = clear(message.content, message.deaths, now);
-    record_of(message.content, now).is_proven = true;
-    evict_oldest();
-    return is_new;
-}
-
-/// A crash that is not known yet is kept as cleared.
-auto poison_part_detector::clear(
-    digest const& part, std::vector<digest> const& crashes, time_point now)
-    -> bool
-{
-    auto& record = record_of(part, now);
     auto is_new = false;
-    for (auto const& death : crashes)
+    for (auto const& crash : message.deaths)
     {
-        auto& crash =
-            record.crashes.try_emplace(death, crash_record{now, false})
-                .first->second;
-        is_new = is_new || !crash.is_cleared;
-        crash.is_cleared = true;
+        is_new = note_crash(crash, message.content, now) || is_new;
     }
-    drop_oldest_crashes(record);
-    forget_if_cleared(part);
-    return is_new;
-}
-
-auto poison_part_detector::forget_if_cleared(digest const& part) -> void
-{
-    auto const& crashes = parts_.at(part).crashes;
-    auto const is_suspect =
-        std::any_of(crashes.begin(), crashes.end(), [](auto const& each) {
-            return !each.second.is_cleared;
-        });
-    if (!is_suspect)
+    auto& record = record_of(message.content, now);
+    record.output_at = now;
+    if (remove_incidents(message.content, message.deaths))
     {
-        suspects_.erase(part);
+        is_new = true;
+        if (is_poison(record))
+        {
+            // The ruling rests on a crash that the part has not caused.
+            set_ruling(message.content, record.ruling + 1, now);
+        }
     }
+    evict_oldest();
+    return is_new;
 }
 
-auto poison_part_detector::drop_oldest_crashes(part_record& record) const
-    -> void
+/// Returns whether any of the crashes was an incident of the part.
+auto poison_part_detector::remove_incidents(
+    digest const& part, std::vector<digest> const& crashes) -> bool
 {
-    while (record.crashes.size() > settings_.most_crashes)
+    auto& incidents = parts_.at(part).incidents;
+    auto const removed = std::erase_if(incidents, [&](incident const& each) {
+        return std::find(crashes.begin(), crashes.end(), each.crash) !=
+               crashes.end();
+    });
+    if (incidents.empty())
     {
-        record.crashes.erase(std::min_element(
-            record.crashes.begin(), record.crashes.end(),
-            [](auto const& a, auto const& b) {
-                return a.second.at < b.second.at;
-            }));
+        suspects_.erase(part);
     }
+    return removed > 0;
 }
 
+/// Output of the part that was seen a moment ago contradicts the ruling: it is
+/// answered with a newer one that releases the part.
 auto poison_part_detector::apply(part_ruling const& ruling, time_point now)
     -> bool
 {
@@ -186,7 +197,11 @@
     {
         return false;
     }
-    set_ruling(ruling.part, ruling.number, now);
+    auto const is_contradicted =
+        ruling.is_poison() && record.output_at &&
+        now - *record.output_at < settings_.contradiction_time;
+    set_ruling(
+        ruling.part, is_contradicted ? ruling.number + 1 : ruling.number, now);
     evict_oldest();
     return true;
 }
@@ -212,8 +227,7 @@
     return found;
 }
 
-/// Parts that have never produced output come first: they explain the crashes
-/// better than those that have.
+/// The likeliest causes come first.
 auto poison_part_detector::due_parts(time_point now) const
     -> std::vector<due_part>
 {
@@ -222,48 +236,47 @@
     {
         auto const& record = parts_.at(part);
         auto const since = due_since(record);
-        if (since && now - *since >= settings_.settle_time)
+        if (!since || now - *since < settings_.settle_time)
+        {
+            continue;
+        }
+        // Output of the part itself would have cleared it.
+        auto const others_have_output = output_at_ && *output_at_ > *since;
+        if (others_have_output || now - *since >= settings_.silence_limit)
         {
-            due.push_back({part, record.is_proven});
+            due.push_back(
+                {part, record.output_at.has_value(), record.requests});
         }
     }
-    std::stable_sort(
-        due.begin(), due.end(), [](due_part const& a, due_part const& b) {
-            return !a.is_proven && b.is_proven;
-        });
+    std::sort(due.begin(), due.end(), [](due_part const& a, due_part const& b) {
+        return std::tie(a.is_proven, a.requests, a.part) <
+               std::tie(b.is_proven, b.requests, b.part);
+    });
     return due;
 }
 
+auto poison_part_detector::needed_incidents(part_record const& record) const
+    -> std::size_t
+{
+    return record.output_at ? settings_.crashes_of_proven_part
+                            : settings_.crashes;
+}
+
 /// When the part was at as many incidents without output as make it poison.
 auto poison_part_detector::due_since(part_record const& record) const
     -> std::optional<time_point>
 {
-    auto times = std::vector<time_point>{};
-    for (auto const& [death, crash] : record.crashes)
-    {
-        if (!crash.is_cleared)
-        {
-            times.push_back(crash.at);
-        }
-    }
-    std::sort(times.begin(), times.end());
-    auto const needed =
-        record.is_proven ? settings_.crashes_of_proven_part : settings_.crashes;
-    auto incidents = std::uint32_t{0};
-    auto last = time_point{};
-    for (auto const& at : times)
-    {
-        if (incidents > 0 && at - last < settings_.incident_length)
-        {
-            continue;
-        }
-        last = at;
-        if (++incidents == needed)
-        {
-            return at;
-        }
-    }
-    return std::nullopt;
+    auto const needed = needed_incidents(record);
+    return record.incidents.size() < needed
+               ? std::nullopt
+               : std::optional{record.incidents[needed - 1].at};
+}
+
+auto poison_part_detector::is_almost_due(digest const& part) const -> bool
+{
+    auto const found = parts_.find(part);
+    return found != parts_.end() && found->second.incidents.size() + 1 >=
+                                        needed_incidents(found->second);
 }
 
 auto poison_part_detector::set_ruling(
@@ -275,29 +288,42 @@
     record.turn = std::uniform_real_distribution<double>{0, 1}(random_);
     record.is_on_trial = false;
     ruled_.insert(part);
-    if (number % 2 == 1)
+    suspects_.erase(part);
+    if (is_poison(record))
     {
-        remove_explained_crashes(part);
+        remove_explained_incidents(part);
     }
-    for (auto& [death, crash] : record.crashes)
+    else
     {
-        crash.is_cleared = true;
+        record.incidents.clear();
     }
-    forget_if_cleared(part);
 }
 
-/// Removes other parts from the suspects of the crashes that a part has caused.
-auto poison_part_detector::remove_explained_crashes(digest const& cause) -> void
+/// Removes other parts from the suspects of the crashes that a part has caused,
+/// unless they are as likely to be the cause.
+auto poison_part_detector::remove_explained_incidents(digest const& cause)
+    -> void
 {
-    auto const& explained = parts_.at(cause).crashes;
+    auto const& ruled = parts_.at(cause);
+    auto explained = std::vector<digest>{};
+    for (auto const& [crash, known] : crashes_)
+    {
+        if (known.parts.contains(cause))
+        {
+            explained.push_back(crash);
+        }
+    }
     auto const suspects = suspects_;
     for (auto const& part : suspects)
     {
-        for (auto& [death, crash] : parts_.at(part).crashes)
+        auto const& other = parts_.at(part);
+        auto const is_as_likely =
+            other.output_at.has_value() == ruled.output_at.has_value() &&
+            other.requests == ruled.requests && due_since(other);
+        if (!is_as_likely)
         {
-            crash.is_cleared = crash.is_cleared || explained.contains(death);
+            remove_incidents(part, explained);
         }
-        forget_if_cleared(part);
     }
 }
 
@@ -310,7 +336,7 @@
     }
     auto const found =
         std::find_if(parts.begin(), parts.end(), [&](digest const& part) {
-            return ruled_.contains(part) && parts_.at(part).ruling % 2 == 1;
+            return ruled_.contains(part) && is_poison(parts_.at(part));
         });
     return found == parts.end() ? std::nullopt : std::optional{*found};
 }
@@ -376,6 +402,9 @@
 
 auto poison_part_detector::drop_expired(time_point now) -> void
 {
+    std::erase_if(crashes_, [&](auto const& entry) {
+        return now - entry.second.at > settings_.crash_memory;
+    });
     std::erase_if(parts_, [&](auto const& entry) {
         auto const& [part, record] = entry;
         auto const lifetime = record.ruling == 0
@@ -392,18 +421,30 @@
     });
 }
 
+/// Drops an eighth of the parts at once, so that the search for the oldest does
+/// not recur with each new part.
 auto poison_part_detector::evict_oldest() -> void
 {
-    while (parts_.size() > settings_.most_parts)
+    if (parts_.size() <= settings_.most_parts)
     {
-        auto const oldest = std::min_element(
-            parts_.begin(), parts_.end(), [](auto const& a, auto const& b) {
-                return std::pair{a.second.ruling % 2, a.second.touched_at} <
-                       std::pair{b.second.ruling % 2, b.second.touched_at};
-            });
-        suspects_.erase(oldest->first);
-        ruled_.erase(oldest->first);
-        parts_.erase(oldest);
+        return;
+    }
+    using candidate = std::tuple<bool, bool, time_point, digest>;
+    auto candidates = std::vector<candidate>{};
+    for (auto const& [part, record] : parts_)
+    {
+        candidates.emplace_back(
+            is_poison(record), suspects_.contains(part), record.touched_at,
+            part);
+    }
+    std::sort(candidates.begin(), candidates.end());
+    auto const kept = settings_.most_parts - settings_.most_parts / 8;
+    candidates.resize(parts_.size() - kept);
+    for (auto const& [is_refused, is_suspect, touched_at, part] : candidates)
+    {
+        suspects_.erase(part);
+        ruled_.erase(part);
+        parts_.erase(part);
     }
 }
 
--- a/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
@@ -225,7 +225,10 @@
         }
         exchange_.state.replicas.succeeded(target_.id);
         exchange_.record_answer(now);
-        exchange_.record_output(now);
+        if (is_success)
+        {
+            exchange_.record_output(now);
+        }
         auto const may_retry =
             head_->status >= 500 && is_idempotent() &&
             exchange_.runs < exchange_.granted.route->max_attempts;
--- a/packages/relay/include/sapphirereel/relay/connection.hpp
+++ b/packages/relay/include/sapphirereel/relay/connection.hpp
@@ -23,7 +23,9 @@
 {
     /// The peer closed it in an orderly way.
     closed,
-    /// The peer reset the connection, or the connection failed.
+    /// The peer reset the connection.
+    reset,
+    /// The connection failed, for example because the peer is silent.
     broken
 };
 
--- a/packages/relay/include/sapphirereel/relay/poison_part_tracker.hpp
+++ b/packages/relay/include/sapphirereel/relay/poison_part_tracker.hpp
@@ -54,9 +54,18 @@
         replica const& which, std::vector<digest> const& parts, time_point now)
         -> bool;
 
+    /// Counts a request with these parts.
+    auto record_request(std::vector<digest> const& parts, time_point now)
+        -> void
+    {
+        parts_.record_request(parts, now);
+    }
+
     /// Records that a replica has begun to answer a request with these parts.
+    /// True if peers must know at once, because they may be about to refuse
+    /// one of the parts.
     auto record_output(std::vector<digest> const& parts, time_point now)
-        -> void;
+        -> bool;
 
     /// Merges a peer's reports. New crashes and clearances are reported onward
     /// if `forwards`, as in a fleet where not all daemons report to each other.
@@ -71,12 +80,12 @@
     /// replicas.
     auto update(time_point now) -> std::vector<digest>;
 
-    /// The first of the parts that is known to crash replicas.
-    [[nodiscard]] auto find_poison(std::vector<digest> const& parts) const
-        -> std::optional<digest>
-    {
-        return parts_.find_poison(parts);
-    }
+    /// The first of the parts that is known to crash replicas, other than one
+    /// that is on trial.
+    [[nodiscard]] auto find_poison(
+        std::vector<digest> const& parts,
+        std::optional<digest> const& on_trial = std::nullopt) const
+        -> std::optional<digest>;
 
     /// Whether a request with a poison part may run, to see whether the part
     /// still crashes replicas; see poison_part_detector::take_trial.
--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -279,13 +279,10 @@
             return;
         }
         auto const now = telemetry::monotonic_now();
-        if (crashes_replicas(*read, *granted) ||
-            has_poison_part(*read, *granted, now))
+        state_.parts.record_request(read->prompt_parts, now);
+        if (crashes_replicas(*read, *granted))
         {
-            send_refusal(
-                *from,
-                {refusal_reason::crashes_replicas, 503, poison_retry_after},
-                read->id, state_);
+            refuse_poison(*from, *read);
             return;
         }
         if (!accepts_now(*granted, now))
@@ -302,6 +299,12 @@
                 read->id, state_);
             return;
         }
+        // Last, so that a request that is a trial runs.
+        if (has_poison_part(*read, *granted, now))
+        {
+            refuse_poison(*from, *read);
+            return;
+        }
         if (granted->route->kind == request_kind::stream)
         {
             stream_exchange<Format>::start(
@@ -320,8 +323,16 @@
                    request_fingerprint(request, terms.customer));
     }
 
+    auto refuse_poison(caller_session& from, caller_request const& request)
+        -> void
+    {
+        send_refusal(
+            from, {refusal_reason::crashes_replicas, 503, poison_retry_after},
+            request.id, state_);
+    }
+
     /// Whether a part of the request's prompt crashes replicas; marks the
-    /// request if it runs as a trial all the same.
+    /// request if it runs as a trial of its only such part.
     auto has_poison_part(
         caller_request const& request, grant& terms, time_point now) -> bool
     {
@@ -330,14 +341,19 @@
         {
             return false;
         }
-        terms.is_poison_trial =
+        auto const is_trial =
+            !state_.parts.find_poison(request.prompt_parts, part) &&
             state_.parts.take_trial(*part, state_.daemons, now);
+        if (is_trial)
+        {
+            terms.trial_part = part;
+        }
         state_.log.request(
             request.id,
-            terms.is_poison_trial ? "trial of a part that crashed replicas"
-                                  : "a part of the prompt crashes replicas",
+            is_trial ? "trial of a part that crashed replicas"
+                     : "a part of the prompt crashes replicas",
             {{"part", *part}});
-        return !terms.is_poison_trial;
+        return !is_trial;
     }
 
     /// Whether a request that arrives now is accepted as far as a planned stop
--- a/packages/relay/include/sapphirereel/relay/request_admission.hpp
+++ b/packages/relay/include/sapphirereel/relay/request_admission.hpp
@@ -86,9 +86,9 @@
     std::optional<customer_id> customer;
     /// Time by which the final answer must be sent.
     time_point deadline;
-    /// Whether the request runs to see whether a part of its prompt still
+    /// The part of its prompt that the request tries, to see whether it still
     /// crashes replicas.
-    bool is_poison_trial = false;
+    std::optional<digest> trial_part = std::nullopt;
 };
 
 /// Admits or refuses a request by the configuration in force; `table` is null
--- a/packages/relay/include/sapphirereel/relay/upstream_call.hpp
+++ b/packages/relay/include/sapphirereel/relay/upstream_call.hpp
@@ -33,7 +33,8 @@
 {
     call_stage stage = call_stage::connecting;
     std::string detail;
-    /// Whether the connection ended, as it does when the other process crashes.
+    /// Whether the other side ended the connection, as it does when its process
+    /// crashes; a silent one does not.
     bool connection_ended = false;
     auto operator<=>(call_failure const&) const = default;
 };
--- a/packages/relay/src/connection.cpp
+++ b/packages/relay/src/connection.cpp
@@ -44,6 +44,17 @@
     set_option(raw, IPPROTO_TCP, TCP_KEEPCNT, probe_count);
 }
 
+auto end_of(std::error_code error) -> connection_end
+{
+    if (error == asio::error::eof)
+    {
+        return connection_end::closed;
+    }
+    auto const is_reset = error == asio::error::connection_reset ||
+                          error == asio::error::broken_pipe;
+    return is_reset ? connection_end::reset : connection_end::broken;
+}
+
 } // namespace
 
 connection::connection(asio::ip::tcp::socket socket)
@@ -165,8 +176,7 @@
     }
     if (error)
     {
-        end(error == asio::error::eof ? connection_end::closed
-                                      : connection_end::broken);
+        end(end_of(error));
         return;
     }
     if (!closing_ && handlers_.received)
@@ -221,9 +231,11 @@
         {
             // Reported from the event loop, because the handler may destroy
             // state that the caller of `send` still uses.
-            asio::post(socket_.get_executor(), [self = shared_from_this()] {
-                self->end(connection_end::broken);
-            });
+            asio::post(
+                socket_.get_executor(),
+                [self = shared_from_this(), how = end_of(error)] {
+                    self->end(how);
+                });
             return;
         }
         written_ += size;
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -142,6 +142,8 @@
             {{"replica", at.id}, {"parts", request.prompt_parts.size()}});
         state.crash_recorded();
     }
+    // A trial ends with its crash.
+    granted.trial_part.reset();
     state.crashes.record_replica_crash(at, content(), now);
     if (state.crashes.is_poison(content()))
     {
@@ -153,13 +155,17 @@
 
 auto exchange::record_output(time_point now) -> void
 {
-    state.parts.record_output(request.prompt_parts, now);
+    if (request.generation &&
+        state.parts.record_output(request.prompt_parts, now))
+    {
+        state.crash_recorded();
+    }
 }
 
 auto exchange::is_poisoned() const -> bool
 {
-    return !granted.is_poison_trial &&
-           state.parts.find_poison(request.prompt_parts).has_value();
+    return state.parts.find_poison(request.prompt_parts, granted.trial_part)
+        .has_value();
 }
 
 auto exchange::record_answer(time_point now) -> void
--- a/packages/relay/src/poison_part_tracker.cpp
+++ b/packages/relay/src/poison_part_tracker.cpp
@@ -63,12 +63,17 @@
 }
 
 auto poison_part_tracker::record_output(
-    std::vector<digest> const& parts, time_point now) -> void
+    std::vector<digest> const& parts, time_point now) -> bool
 {
+    auto const is_urgent =
+        std::any_of(parts.begin(), parts.end(), [&](digest const& part) {
+            return parts_.is_almost_due(part);
+        });
     for (auto& message : parts_.record_output(parts, now))
     {
         cleared_.add(std::move(message), now);
     }
+    return is_urgent;
 }
 
 auto poison_part_tracker::apply_report(
@@ -107,6 +112,19 @@
     return news;
 }
 
+auto poison_part_tracker::find_poison(
+    std::vector<digest> const& parts,
+    std::optional<digest> const& on_trial) const -> std::optional<digest>
+{
+    if (!on_trial)
+    {
+        return parts_.find_poison(parts);
+    }
+    auto others = parts;
+    std::erase(others, *on_trial);
+    return parts_.find_poison(others);
+}
+
 auto poison_part_tracker::entries_to_report() const -> part_reports
 {
     return {crashes_.messages(), cleared_.messages(), parts_.rulings()};
--- a/packages/relay/src/upstream_call.cpp
+++ b/packages/relay/src/upstream_call.cpp
@@ -131,7 +131,7 @@
         {parser_.head() ? call_stage::answering : call_stage::waiting,
          how == connection_end::closed ? "the connection was closed"
                                        : "the connection broke",
-         true});
+         how != connection_end::broken});
 }
 
 auto upstream_call::complete() -> void
