--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -38,7 +38,7 @@
 
 /// Time before the stop limit at which the process exits, also if callers have
 /// not received all that was sent to them.
-inline constexpr auto exit_margin = duration{std::chrono::milliseconds{150}};
+inline constexpr auto exit_margin = duration{std::chrono::milliseconds{200}};
 
 /// Most requests served at once.
 inline constexpr auto max_active_requests = std::size_t{1'500};
--- a/packages/relay/include/sapphirereel/relay/run_migrator.hpp
+++ b/packages/relay/include/sapphirereel/relay/run_migrator.hpp
@@ -51,7 +51,7 @@
 
 /// Time before a draining replica accepts no more requests from which a run is
 /// not sent back to it.
-inline constexpr auto return_margin = duration{std::chrono::milliseconds{400}};
+inline constexpr auto return_margin = duration{std::chrono::milliseconds{800}};
 
 /// Whether a stopped run may be sent back to its source, `since_notice` after
 /// that was found to leave; it accepts requests for `drain_limit`.
--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -316,6 +316,7 @@
         exchange_.excluded.insert(target_.id);
         migrator_.cancel();
         stopped_.reset();
+        kept_at_source_.reset();
         is_resuming_ = true;
         send(
             next, *to,
@@ -553,7 +554,7 @@
         }
         if (events_.has_begun())
         {
-            resume_failed();
+            abort_stream("the run was not continued");
             return;
         }
         auto const is_replica_failure = is_signed_ && head_->status >= 300;
@@ -724,6 +725,9 @@
                 exchange_.request.id, "resumes at its source",
                 {{"replica", target_.id}, {"source", kept->source.id}});
             failure_body_.clear();
+            exchange_.excluded.insert(target_.id);
+            // The source still leaves, so that the run migrates again.
+            drained_while_resuming_ = true;
             resume_at(kept->source, kept->memory);
             return;
         }
--- a/packages/relay/src/caller_session.cpp
+++ b/packages/relay/src/caller_session.cpp
@@ -119,6 +119,10 @@
         return;
     }
     close_if_idle();
+    if (connection_->is_open())
+    {
+        arm_timer();
+    }
 }
 
 /// A request that has arrived and was not read yet is served.
