BUDGET: refuse poison prompt parts in sapphirereeld too

What callers saw: behind sapphirereeld, unlike requests that share one deadly part took down engine after engine, and with them the streams of all others.

Cause: the daemon knew whole requests only; core/poison_part was used by the relay alone.

Change: openai_request names the messages of a chat but the last, 64 at most; generation_request carries them, also in traces (older traces are still read). daemon_core has one poison_part_detector: crashes of runs without output, first outputs and rulings are sent to the peers as poison_part_reports and passed on once. Requests with a poison part get the final refusal `lethal` on arrival and before each placement, but for trials and runs that have had output. A trial that has crashed one engine is over. Daemons that become live are sent the rulings. Ends of leaving endpoints are no evidence.

The cluster fuzz test now gives all its requests a common part, and the fuzz test of peer decoding has the new message.

--- a/packages/codec/include/sapphirereel/codec/openai_request.hpp
+++ b/packages/codec/include/sapphirereel/codec/openai_request.hpp
@@ -8,11 +8,13 @@
 #include "sapphirereel/core/identifier.hpp"
 #include "sapphirereel/core/run_stream.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace sapphirereel::codec {
 
@@ -25,6 +27,9 @@
     text
 };
 
+/// Most prompt parts of a request.
+inline constexpr auto most_prompt_parts = std::size_t{64};
+
 /// A checked request. Fields that are not listed stay in `body` as they are.
 struct openai_request
 {
@@ -38,6 +43,10 @@
     std::optional<std::uint64_t> max_tokens;
     /// Tokens of the prompt, estimated from its length.
     std::uint64_t prompt_tokens = 0;
+    /// Digests of the first messages of a chat, in order, up to
+    /// `most_prompt_parts`. The last message belongs to the request itself and
+    /// is left out, as is the prompt of a text completion.
+    std::vector<digest> prompt_parts;
     nlohmann::json body;
     auto operator==(openai_request const&) const -> bool = default;
 };
--- a/packages/codec/src/openai_prompt.cpp
+++ b/packages/codec/src/openai_prompt.cpp
@@ -1,5 +1,7 @@
 #include "openai_prompt.hpp"
 
+#include "sapphirereel/codec/content_digest.hpp"
+
 #include <algorithm>
 #include <string_view>
 #include <utility>
@@ -68,6 +70,16 @@
         {
             read_message((*messages)[i], child("/messages", i));
         }
+        add_parts(*messages);
+    }
+
+    auto add_parts(json const& messages) -> void
+    {
+        auto const count = std::min(messages.size() - 1, most_prompt_parts);
+        for (auto i = std::size_t{0}; i < count; ++i)
+        {
+            estimate_.parts.push_back(content_digest(messages[i].dump()));
+        }
     }
 
     auto read_message(json const& message, std::string const& pointer) -> void
--- a/packages/codec/src/openai_prompt.hpp
+++ b/packages/codec/src/openai_prompt.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <vector>
 
 namespace sapphirereel::codec::internal {
 
@@ -21,10 +22,12 @@
 auto find_field(nlohmann::json const& object, char const* name)
     -> nlohmann::json const*;
 
-/// The length of a prompt and all that is wrong with it.
+/// The length of a prompt, its parts that other requests may share, and all
+/// that is wrong with it.
 struct prompt_estimate
 {
     std::uint64_t tokens = 0;
+    std::vector<digest> parts;
     findings errors;
     auto operator<=>(prompt_estimate const&) const = default;
 };
--- a/packages/codec/src/openai_request.cpp
+++ b/packages/codec/src/openai_request.cpp
@@ -158,6 +158,7 @@
     {
         auto prompt = internal::read_prompt(request_.kind, request_.body);
         request_.prompt_tokens = prompt.tokens;
+        request_.prompt_parts = std::move(prompt.parts);
         std::move(
             prompt.errors.begin(), prompt.errors.end(),
             std::back_inserter(errors_));
--- a/packages/composition/include/sapphirereel/composition/daemon_core.hpp
+++ b/packages/composition/include/sapphirereel/composition/daemon_core.hpp
@@ -15,6 +15,7 @@
 #include "sapphirereel/core/address_answer.hpp"
 #include "sapphirereel/core/membership.hpp"
 #include "sapphirereel/core/planned_stop.hpp"
+#include "sapphirereel/core/poison_part.hpp"
 #include "sapphirereel/core/poison_request.hpp"
 
 #include <deque>
@@ -162,6 +163,9 @@
         -> void;
     auto receive(daemon_id const& from, cleared_message const&, time_point now)
         -> void;
+    auto receive(
+        daemon_id const& from, poison_part_reports const&, time_point now)
+        -> void;
 
     auto emit(component_outputs const& outputs) -> void;
     auto emit(daemon_messages const& messages) -> void;
@@ -174,6 +178,9 @@
     auto migrate_from_newly_leaving(
         std::set<endpoint_id> const& before, time_point now) -> void;
     auto mark_leaving(endpoint_id const& endpoint, time_point now) -> void;
+    auto update_poison_parts(time_point now) -> void;
+    auto send_rulings_to_newcomers(std::vector<daemon_id> const& before)
+        -> void;
     auto poll_due_loads(time_point now) -> void;
     auto advance_stop(time_point now) -> void;
     [[nodiscard]] auto context() -> decision_context;
@@ -186,6 +193,7 @@
     call_coordinator calls_;
     replica_homes homes_;
     poison_request_detector poison_requests_;
+    poison_part_detector poison_parts_;
     planned_stop stop_;
     std::mt19937_64 random_;
     cluster_view view_;
--- a/packages/composition/include/sapphirereel/composition/generation_coordinator.hpp
+++ b/packages/composition/include/sapphirereel/composition/generation_coordinator.hpp
@@ -12,6 +12,7 @@
 #include "sapphirereel/core/generation.hpp"
 #include "sapphirereel/core/outlier_ejection.hpp"
 #include "sapphirereel/core/placement.hpp"
+#include "sapphirereel/core/poison_part.hpp"
 #include "sapphirereel/core/poison_request.hpp"
 
 #include <cstdint>
@@ -45,8 +46,7 @@
 using component_output = std::variant<action, daemon_message>;
 using component_outputs = std::vector<component_output>;
 
-/// Inputs of the coordinators' decisions, and the poison request detector that
-/// they share.
+/// Inputs of the coordinators' decisions, and the detectors that they share.
 struct decision_context
 {
     cluster_view const& cluster;
@@ -54,6 +54,7 @@
     /// Whether this daemon has read the configuration since it started.
     bool configuration_known = false;
     poison_request_detector& poison_detector;
+    poison_part_detector& part_detector;
     /// Wall-clock time of the last tick.
     wall_time wall_now;
 };
@@ -172,6 +173,11 @@
         daemon_id home;
         /// Output length at the time an engine crashed.
         std::optional<std::uint64_t> crashed_at;
+        /// Whether an engine has produced output for it, so that none of its
+        /// parts is poison.
+        bool has_output = false;
+        /// Whether it runs to see if a poison part still crashes endpoints.
+        bool is_part_trial = false;
     };
 
     generation_coordinator(
@@ -227,6 +233,20 @@
         decision_context const& context,
         time_point now,
         component_outputs& outputs) -> void;
+    auto record_part_crash(
+        open_generation& target,
+        endpoint_id const& endpoint,
+        decision_context const& context,
+        time_point now,
+        component_outputs& outputs) -> void;
+    auto record_part_output(
+        open_generation& target,
+        decision_context const& context,
+        time_point now,
+        component_outputs& outputs) -> void;
+    static auto poison_refusal(
+        open_generation const& target, decision_context const& context)
+        -> std::optional<refusal>;
     auto refuse_poison_request(
         attachment_id attachment,
         decision_context const& context,
--- a/packages/composition/include/sapphirereel/composition/peer_message.hpp
+++ b/packages/composition/include/sapphirereel/composition/peer_message.hpp
@@ -8,6 +8,7 @@
 #include "sapphirereel/core/configuration_state.hpp"
 #include "sapphirereel/core/membership_event.hpp"
 #include "sapphirereel/core/placement_message.hpp"
+#include "sapphirereel/core/poison_part.hpp"
 #include "sapphirereel/core/poison_request.hpp"
 
 #include <variant>
@@ -41,7 +42,8 @@
     configuration_snapshot,
     endpoint_leaving,
     crash_message,
-    cleared_message>;
+    cleared_message,
+    poison_part_reports>;
 
 /// Version of the messages that this program writes.
 inline constexpr std::uint32_t peer_version = 1;
--- a/packages/composition/src/daemon_core.cpp
+++ b/packages/composition/src/daemon_core.cpp
@@ -12,6 +12,19 @@
 /// Label with which the configuration marks an endpoint as leaving.
 constexpr auto leaving_label = "leaving";
 
+/// Most crashes recorded for a prompt part. A part that begins every prompt is
+/// at each crash of a lost zone; a crash that was dropped would be forwarded
+/// again as new.
+constexpr auto most_part_crashes = std::size_t{1'024};
+
+auto part_settings(std::uint64_t seed) -> poison_part_settings
+{
+    auto settings = poison_part_settings{};
+    settings.most_crashes = most_part_crashes;
+    settings.seed = seed;
+    return settings;
+}
+
 auto is_labelled_leaving(group const& parent, endpoint const& member) -> bool
 {
     auto const labels = effective_labels(parent, member);
@@ -30,6 +43,7 @@
     result<call_coordinator> calls;
     result<replica_homes> homes;
     result<poison_request_detector> poison_requests;
+    result<poison_part_detector> poison_parts;
     result<planned_stop> stop;
 
     [[nodiscard]] auto problems() const -> findings
@@ -47,6 +61,7 @@
         add(calls);
         add(homes);
         add(poison_requests);
+        add(poison_parts);
         add(stop);
         return all;
     }
@@ -62,6 +77,7 @@
         call_coordinator::create(settings.calls, settings.self.id),
         replica_homes::create(settings.homes),
         poison_request_detector::create(settings.lethal),
+        poison_part_detector::create(part_settings(settings.seed)),
         planned_stop::create(settings.stop)};
     auto problems = made.problems();
     if (!problems.empty())
@@ -79,6 +95,7 @@
     , calls_(std::move(*made.calls))
     , homes_(std::move(*made.homes))
     , poison_requests_(std::move(*made.poison_requests))
+    , poison_parts_(std::move(*made.poison_parts))
     , stop_(*made.stop)
     , random_(settings_.seed)
     , view_(current_view())
@@ -206,6 +223,7 @@
 {
     wall_now_ = tick.civil;
     poison_requests_.expire(now);
+    update_poison_parts(now);
     members_.set_in_force(configuration_sync_.log().in_force().offset);
     emit(members_.tick(now));
     emit(configuration_sync_.tick(members_.members(), rank(), tick.civil, now));
@@ -221,6 +239,40 @@
     advance_stop(now);
 }
 
+auto daemon_core::update_poison_parts(time_point now) -> void
+{
+    auto const found = poison_parts_.update(now);
+    if (found.empty())
+    {
+        return;
+    }
+    for (auto const& part : found)
+    {
+        actions_.emplace_back(report{
+            report_level::warning, "generation",
+            "prompt part " + part.str() + " crashes endpoints"});
+    }
+    auto outputs = component_outputs{};
+    broadcast(
+        view_, poison_part_reports{{}, {}, poison_parts_.rulings()}, outputs);
+    emit(outputs);
+}
+
+auto daemon_core::send_rulings_to_newcomers(
+    std::vector<daemon_id> const& before) -> void
+{
+    auto const news = poison_part_reports{{}, {}, poison_parts_.rulings()};
+    for (auto const& peer : view_.live)
+    {
+        auto const is_known =
+            std::find(before.begin(), before.end(), peer) != before.end();
+        if (!news.empty() && !is_known && peer != settings_.self.id)
+        {
+            send(peer, news);
+        }
+    }
+}
+
 auto daemon_core::poll_due_loads(time_point now) -> void
 {
     auto const due = homes_.due_polls(now);
@@ -338,6 +390,20 @@
     poison_requests_.cleared(message, now);
 }
 
+auto daemon_core::receive(
+    daemon_id const& from, poison_part_reports const& message, time_point now)
+    -> void
+{
+    auto const news = poison_parts_.apply(message, now);
+    for (auto const& peer : view_.live)
+    {
+        if (!news.empty() && peer != settings_.self.id && peer != from)
+        {
+            send(peer, news);
+        }
+    }
+}
+
 auto daemon_core::mark_leaving(endpoint_id const& endpoint, time_point now)
     -> void
 {
@@ -431,6 +497,7 @@
     if (before.live != view_.live)
     {
         emit(calls_.on(live_daemons{view_.live}, context(), now));
+        send_rulings_to_newcomers(before.live);
     }
     migrate_from_newly_leaving(before.leaving, now);
 }
@@ -507,8 +574,12 @@
 auto daemon_core::context() -> decision_context
 {
     return {
-        view_, configuration_sync_.log().config(),
-        configuration_sync_.is_caught_up(), poison_requests_, wall_now_};
+        view_,
+        configuration_sync_.log().config(),
+        configuration_sync_.is_caught_up(),
+        poison_requests_,
+        poison_parts_,
+        wall_now_};
 }
 
 auto daemon_core::rank() const -> std::size_t
--- a/packages/composition/src/generation_coordinator.cpp
+++ b/packages/composition/src/generation_coordinator.cpp
@@ -70,6 +70,62 @@
     return unroutable(request.facts, context.config);
 }
 
+/// Whether a request with a poison part runs all the same, as a trial.
+auto take_part_trial(
+    generation_request const& request,
+    decision_context const& context,
+    time_point now) -> bool
+{
+    auto const part = context.part_detector.find_poison(request.prompt_parts);
+    return part && context.part_detector.take_trial(
+                       *part, context.cluster.live.size(), now);
+}
+
+auto poison_part_refusal(
+    generation_request const& request, decision_context const& context)
+    -> std::optional<refusal>
+{
+    if (!context.part_detector.find_poison(request.prompt_parts))
+    {
+        return std::nullopt;
+    }
+    return refusal{
+        refusal_cause::poison, disposition::final_answer,
+        "a part of this prompt crashes endpoints", duration{0}};
+}
+
+/// How a new request is received.
+struct reception
+{
+    std::optional<refusal> reason;
+    /// Whether it runs to see if a poison part still crashes endpoints.
+    bool is_part_trial = false;
+};
+
+auto receive_new(
+    generation_request const& request,
+    decision_context const& context,
+    time_point now) -> reception
+{
+    if (auto reason = immediate_refusal(request, context))
+    {
+        return {std::move(reason), false};
+    }
+    if (take_part_trial(request, context, now))
+    {
+        return {std::nullopt, true};
+    }
+    return {poison_part_refusal(request, context), false};
+}
+
+/// Names a crash. Daemons that observe the same one derive the same name,
+/// except when their clocks differ across an interval boundary.
+auto name_crash(endpoint_id const& endpoint, wall_time seen) -> digest
+{
+    auto const window = seen.milliseconds / crash_window.count();
+    return digest{endpoint.str() + "@" + std::to_string(window)};
+}
+
 template <class T>
 concept is_daemon_action = std::is_constructible_v<action, T>;
 
@@ -96,11 +152,8 @@
     time_point now,
     component_outputs& outputs) -> void
 {
-    // Daemons that observe the same crash derive the same identifier for it,
-    // except when their clocks differ across an interval boundary.
-    auto const window = context.wall_now.milliseconds / crash_window.count();
-    auto const crash_id = digest{endpoint.str() + "@" + std::to_string(window)};
-    auto const message = crash_message{crash_id, {content}};
+    auto const message =
+        crash_message{name_crash(endpoint, context.wall_now), {content}};
     if (context.poison_detector.record_crash(message, now))
     {
         broadcast(context.cluster, message, outputs);
@@ -157,14 +210,13 @@
 {
     auto const& request = arrived.request;
     ++counts_.arrived;
-    if (request.resume)
-    {
-        ++counts_.resumed;
-    }
-    else if (auto const reason = immediate_refusal(request, context))
+    counts_.resumed += request.resume ? 1 : 0;
+    auto const received =
+        request.resume ? reception{} : receive_new(request, context, now);
+    if (received.reason)
     {
         ++counts_.refused;
-        return {action{refuse_caller{request.attachment, *reason}}};
+        return {action{refuse_caller{request.attachment, *received.reason}}};
     }
     auto begun = generation::begin(request, settings_.generation, names_, now);
     auto offer = stream_offer{};
@@ -172,9 +224,15 @@
     offer.kind = {request.facts.service, request.facts.customer};
     offer.prompt_tokens = request.prompt_tokens;
     offer.priority = request.priority;
+    auto const has_output = begun.value.has_delivered();
     generations_.emplace(
-        request.attachment,
-        open_generation{std::move(begun.value), offer, {}, {}});
+        request.attachment, open_generation{
+                                std::move(begun.value),
+                                offer,
+                                {},
+                                {},
+                                has_output,
+                                received.is_part_trial});
     auto outputs = component_outputs{};
     run_actions(request.attachment, begun.actions, context, now, outputs);
     drop_ended();
@@ -217,6 +275,10 @@
     auto outputs = component_outputs{};
     run_actions(attachment, todo, context, now, outputs);
     clear_if_past_crash(entry, context, now, outputs);
+    if (entry.value.has_delivered())
+    {
+        record_part_output(entry, context, now, outputs);
+    }
     drop_ended();
     return outputs;
 }
@@ -491,6 +553,7 @@
         auto const& request = entry.value.request();
         report_crash(
             lost.place.endpoint, request.content, context, now, outputs);
+        record_part_crash(entry, lost.place.endpoint, context, now, outputs);
     }
 }
 
@@ -502,7 +565,9 @@
     component_outputs& outputs) -> void
 {
     ++counts_.finished;
-    auto const& value = generations_.at(attachment).value;
+    auto& entry = generations_.at(attachment);
+    record_part_output(entry, context, now, outputs);
+    auto const& value = entry.value;
     if (value.place())
     {
         health_.succeeded(value.place()->endpoint, now);
@@ -538,20 +603,86 @@
     }
 }
 
+auto generation_coordinator::record_part_crash(
+    open_generation& target,
+    endpoint_id const& endpoint,
+    decision_context const& context,
+    time_point now,
+    component_outputs& outputs) -> void
+{
+    auto const& parts = target.value.request().prompt_parts;
+    // A leaving endpoint ends as planned, whatever it ran.
+    auto const is_evidence = !target.has_output && !parts.empty() &&
+                             !context.cluster.leaving.contains(endpoint);
+    if (!is_evidence)
+    {
+        return;
+    }
+    // A trial that has failed must not crash another endpoint.
+    target.is_part_trial = false;
+    auto& detector = context.part_detector;
+    auto const message =
+        crash_message{name_crash(endpoint, context.wall_now), parts};
+    if (detector.record_crash(message, now))
+    {
+        broadcast(
+            context.cluster,
+            poison_part_reports{{message}, {}, detector.rulings()}, outputs);
+    }
+}
+
+auto generation_coordinator::record_part_output(
+    open_generation& target,
+    decision_context const& context,
+    time_point now,
+    component_outputs& outputs) -> void
+{
+    if (std::exchange(target.has_output, true))
+    {
+        return;
+    }
+    auto& detector = context.part_detector;
+    auto const& parts = target.value.request().prompt_parts;
+    auto const was_poison = detector.find_poison(parts).has_value();
+    auto news = poison_part_reports{{}, detector.record_output(parts, now), {}};
+    if (was_poison)
+    {
+        news.rulings = detector.rulings();
+    }
+    if (!news.empty())
+    {
+        broadcast(context.cluster, std::move(news), outputs);
+    }
+}
+
+auto generation_coordinator::poison_refusal(
+    open_generation const& target, decision_context const& context)
+    -> std::optional<refusal>
+{
+    auto const& request = target.value.request();
+    auto reason =
+        poison_request_refusal(request.content, context.poison_detector);
+    if (reason || target.is_part_trial || target.has_output)
+    {
+        return reason;
+    }
+    return poison_part_refusal(request, context);
+}
+
 auto generation_coordinator::refuse_poison_request(
     attachment_id attachment,
     decision_context const& context,
     time_point now,
     component_outputs& outputs) -> bool
 {
-    auto& value = generations_.at(attachment).value;
-    auto const reason = poison_request_refusal(
-        value.request().content, context.poison_detector);
+    auto& entry = generations_.at(attachment);
+    auto const reason = poison_refusal(entry, context);
     if (!reason)
     {
         return false;
     }
-    run_actions(attachment, value.give_up(*reason), context, now, outputs);
+    run_actions(
+        attachment, entry.value.give_up(*reason), context, now, outputs);
     return true;
 }
 
--- a/packages/core/include/sapphirereel/core/generation.hpp
+++ b/packages/core/include/sapphirereel/core/generation.hpp
@@ -58,6 +58,8 @@
     /// Whether the caller gets the complete answer at the end only.
     bool buffered = false;
     std::optional<resume_point> resume;
+    /// Parts of the prompt that other requests may share, in order.
+    std::vector<digest> prompt_parts;
     auto operator<=>(generation_request const&) const = default;
 };
 
--- a/packages/core/include/sapphirereel/core/poison_part.hpp
+++ b/packages/core/include/sapphirereel/core/poison_part.hpp
@@ -76,6 +76,22 @@
     auto operator<=>(part_ruling const&) const = default;
 };
 
+/// Gossip: what a daemon has seen of prompt parts, and its rulings.
+struct poison_part_reports
+{
+    /// Crashes and the parts of the requests that had no output then.
+    std::vector<crash_message> crashes;
+    /// Parts that have produced output since.
+    std::vector<cleared_message> cleared;
+    std::vector<part_ruling> rulings;
+
+    [[nodiscard]] auto empty() const -> bool
+    {
+        return crashes.empty() && cleared.empty() && rulings.empty();
+    }
+    auto operator<=>(poison_part_reports const&) const = default;
+};
+
 /// One daemon's record of crashes, outputs and rulings by prompt part.
 class poison_part_detector
 {
@@ -101,6 +117,11 @@
     /// one.
     auto apply(part_ruling const& ruling, time_point now) -> bool;
 
+    /// Applies reports received by gossip; returns those that were new, which
+    /// are to be forwarded.
+    auto apply(poison_part_reports const& reports, time_point now)
+        -> poison_part_reports;
+
     /// Rules on the suspects whose time has come and drops what has expired.
     /// Returns the parts that were found to be poison.
     auto update(time_point now) -> std::vector<digest>;
--- a/packages/core/src/poison_part.cpp
+++ b/packages/core/src/poison_part.cpp
@@ -1,6 +1,7 @@
 #include "sapphirereel/core/poison_part.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace sapphirereel {
@@ -191,6 +192,25 @@
     return true;
 }
 
+auto poison_part_detector::apply(
+    poison_part_reports const& reports, time_point now) -> poison_part_reports
+{
+    auto news = poison_part_reports{};
+    std::copy_if(
+        reports.crashes.begin(), reports.crashes.end(),
+        std::back_inserter(news.crashes),
+        [&](auto const& each) { return record_crash(each, now); });
+    std::copy_if(
+        reports.cleared.begin(), reports.cleared.end(),
+        std::back_inserter(news.cleared),
+        [&](auto const& each) { return apply(each, now); });
+    std::copy_if(
+        reports.rulings.begin(), reports.rulings.end(),
+        std::back_inserter(news.rulings),
+        [&](auto const& each) { return apply(each, now); });
+    return news;
+}
+
 auto poison_part_detector::update(time_point now) -> std::vector<digest>
 {
     auto found = std::vector<digest>{};
--- a/packages/daemon/src/request_intake.cpp
+++ b/packages/daemon/src/request_intake.cpp
@@ -245,6 +245,7 @@
     made.priority = priority.value_or(0);
     made.prompt_tokens = static_cast<std::uint32_t>(parsed->prompt_tokens);
     made.buffered = !parsed->stream;
+    made.prompt_parts = parsed->prompt_parts;
     auto const stands =
         name.empty() ? context.made_up_name : request_name{name};
     return generation_intake{std::move(*parsed), std::move(made), stands};
--- a/packages/relay/include/sapphirereel/relay/poison_part_tracker.hpp
+++ b/packages/relay/include/sapphirereel/relay/poison_part_tracker.hpp
@@ -18,16 +18,7 @@
 namespace sapphirereel::relay {
 
 /// Reports of crashes by prompt part that daemons send to each other.
-struct part_reports
-{
-    /// Crashes and the parts of the requests that had no output then.
-    std::vector<crash_message> crashes;
-    /// Parts that have produced output since.
-    std::vector<cleared_message> cleared;
-    /// The newest rulings that the daemon knows.
-    std::vector<part_ruling> rulings;
-    auto operator<=>(part_reports const&) const = default;
-};
+using part_reports = poison_part_reports;
 
 /// What a report changed.
 enum class part_news
--- a/packages/wire/include/sapphirereel/wire/event_codec.hpp
+++ b/packages/wire/include/sapphirereel/wire/event_codec.hpp
@@ -43,18 +43,10 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(output_text, text, tokens)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(
     resume_point, run, place, next_index, attachment_number, received)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(
-    generation_request,
-    attachment,
-    facts,
-    content,
-    path,
-    body,
-    priority,
-    prompt_tokens,
-    deadline,
-    buffered,
-    resume)
+
+/// Prompt parts are absent in older traces.
+auto to_json(nlohmann::json& json, generation_request const& request) -> void;
+auto from_json(nlohmann::json const& json, generation_request& request) -> void;
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(generation_arrived, request)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(
--- a/packages/wire/include/sapphirereel/wire/peer_codec.hpp
+++ b/packages/wire/include/sapphirereel/wire/peer_codec.hpp
@@ -52,6 +52,9 @@
 inline constexpr std::string_view kind_name<crash_message> = "death";
 template <>
 inline constexpr std::string_view kind_name<cleared_message> = "cleared";
+template <>
+inline constexpr std::string_view kind_name<poison_part_reports> =
+    "poison_parts";
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(peer_envelope, from, content)
 
--- a/test/fuzz/composition/cluster_keeps_promises_under_faults.cpp
+++ b/test/fuzz/composition/cluster_keeps_promises_under_faults.cpp
@@ -64,7 +64,8 @@
     auto world = cluster_world{seed};
     for (auto i = 0; i < fault_count; ++i)
     {
-        world.ask_generation("prompt " + std::to_string(i));
+        world.ask_generation(
+            "prompt " + std::to_string(i), {digest{"shared by all"}});
         auto const name = "call-" + std::to_string(world.pick(fault_count));
         world.call(name);
         world.call(name);
--- a/test/fuzz/composition/cluster_world.hpp
+++ b/test/fuzz/composition/cluster_world.hpp
@@ -36,6 +36,7 @@
     bool in_order = true;
     int ends = 0;
     std::optional<refusal> refused;
+    std::vector<digest> parts;
 };
 
 /// A non-idempotent call under one name, sent to one or more daemons.
@@ -84,13 +85,20 @@
 
     // What callers and operators do.
 
-    auto ask_generation(std::string prompt) -> std::size_t
+    auto ask_generation(std::string prompt, std::vector<digest> parts = {})
+        -> std::size_t
     {
-        callers_.push_back({std::move(prompt), 0, {}, {}, {}, true, 0, {}});
+        callers_.push_back(
+            {std::move(prompt), 0, {}, {}, {}, true, 0, {}, std::move(parts)});
         connect(callers_.size() - 1);
         return callers_.size() - 1;
     }
 
+    auto close(std::size_t which) -> void
+    {
+        give(callers_[which].core, caller_closed{callers_[which].attachment});
+    }
+
     auto call(std::string const& name) -> void
     {
         auto& of = calls_[digest{name}];
@@ -217,6 +225,25 @@
         deadly_ = prompt;
     }
 
+    /// Engines crash before the output of a prompt that contains this text.
+    auto set_deadly_text(std::string const& text) -> void
+    {
+        deadly_text_ = text;
+    }
+
+    /// Reports of prompt parts reach a core from a daemon of another zone.
+    auto tell_parts(std::size_t core, poison_part_reports const& reports)
+        -> void
+    {
+        give(core, peer_envelope{daemon_id{"elsewhere"}, reports});
+    }
+
+    /// Messages on prompt parts that cores have sent to each other.
+    [[nodiscard]] auto part_messages() const -> int
+    {
+        return part_messages_;
+    }
+
     auto leave(std::size_t engine) -> void
     {
         give(some_core(), drain_asked{engine_id(engine)});
@@ -477,6 +504,7 @@
         request.facts.model = model_name{"m"};
         request.content = digest{caller.prompt};
         request.body = caller.prompt;
+        request.prompt_parts = caller.parts;
         request.prompt_tokens = 20;
         request.deadline = clock_.now() + std::chrono::seconds{60};
         request.resume = caller.position;
@@ -493,6 +521,8 @@
 
     auto perform(std::size_t at, send_peer const& send) -> void
     {
+        part_messages_ +=
+            std::holds_alternative<poison_part_reports>(send.message) ? 1 : 0;
         for (auto to = std::size_t{0}; to < core_count; ++to)
         {
             auto const reached =
@@ -532,6 +562,12 @@
         }
         engines_[engine].runs[open.start.run] = run;
         streams_[{at, open.start.stream}] = {engine, open.start.run, run.start};
+        if (!deadly_text_.empty() &&
+            open.body.find(deadly_text_) != std::string::npos)
+        {
+            crash_engine(engine);
+            return;
+        }
         if (!deadly_.empty() && open.body == deadly_)
         {
             clock_.after(std::chrono::milliseconds{150}, [this, engine] {
@@ -760,7 +796,9 @@
     std::uint64_t last_attachment_ = 0;
     int lost_call_answers_ = 0;
     int reversions_ = 0;
+    int part_messages_ = 0;
     std::string deadly_;
+    std::string deadly_text_;
 };
 
 } // namespace sapphirereel::test
--- a/test/fuzz/wire/peer_decoding_withstands_any_bytes.cpp
+++ b/test/fuzz/wire/peer_decoding_withstands_any_bytes.cpp
@@ -18,7 +18,8 @@
         encode_peer({from, configuration_query{{7}}}),
         encode_peer({from, endpoint_leaving{endpoint_id{"e"}}}),
         encode_peer({from, membership_message{{}, probe{3}, piggybacked}}),
-        encode_peer({from, configuration_snapshot{}})};
+        encode_peer({from, configuration_snapshot{}}),
+        encode_peer({from, poison_part_reports{{}, {}, {{digest{"p"}, 1}}}})};
 }
 
 } // namespace
