LOST: keep an exchange until its deadline's handler has run

What callers could have seen: a crash of the daemon. The address sanitizer reports a member access of a stream_exchange that is destroyed, in receive(), after a stream was broken off (endless_answer.of_repeated_events_ends_the_stream).

Change: the deadline's timer holds the exchange again, until the loop has run its handler, cancelled or not. The handler for interruptions stays weak.

--- a/packages/relay/include/sapphirereel/relay/exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/exchange.hpp
@@ -79,8 +79,11 @@
     using interruption_handler = std::function<void(interruption)>;
 
     /// Sets the handlers for the caller's disconnect, and for the deadline or
-    /// the daemon's stop.
+    /// the daemon's stop. `owner` holds this exchange; it is kept until the
+    /// event loop has run the deadline's handler, also if the deadline is
+    /// cancelled, so that no function of the owner outlives it.
     auto set_handlers(
+        std::shared_ptr<void> owner,
         std::function<void()> caller_disconnected,
         interruption_handler interrupted) -> void;
 
--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -122,7 +122,7 @@
     {
         auto const self = this->shared_from_this();
         exchange_.set_handlers(
-            [self] { self->caller_disconnected(); },
+            self, [self] { self->caller_disconnected(); },
             [weak = this->weak_from_this()](interruption why) {
                 if (auto const held = weak.lock())
                 {
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -26,18 +26,21 @@
 }
 
 auto exchange::set_handlers(
-    std::function<void()> caller_disconnected, interruption_handler interrupted)
-    -> void
+    std::shared_ptr<void> owner,
+    std::function<void()> caller_disconnected,
+    interruption_handler interrupted) -> void
 {
     caller->on_disconnect(std::move(caller_disconnected));
     interrupted_ = std::move(interrupted);
     deadline_timer.expires_after(remaining(started_at));
-    deadline_timer.async_wait([handler = interrupted_](std::error_code error) {
-        if (!error)
-        {
-            handler(interruption::deadline);
-        }
-    });
+    deadline_timer.async_wait(
+        [handler = interrupted_,
+         owner = std::move(owner)](std::error_code error) {
+            if (!error)
+            {
+                handler(interruption::deadline);
+            }
+        });
 }
 
 auto exchange::interrupt(interruption why) -> void
--- a/test/correctness/relay/planned_stops_answer_every_request.cpp
+++ b/test/correctness/relay/planned_stops_answer_every_request.cpp
@@ -36,6 +36,15 @@
         world.add("one", "plain", one);
     }
 
+    /// A relay before a replica that never answers.
+    explicit stopping_relay(duration stop_limit)
+        : stopping_relay(
+              [this](
+                  std::shared_ptr<caller_session> const& from,
+                  http::request const&) { held.push_back(from); },
+              stop_limit)
+    {}
+
     auto stop() -> void
     {
         world.node().stop([this] { exits = true; });
@@ -43,6 +52,8 @@
 
     relay_fixture world;
     fake_replica one;
+    /// Requests that the replica has not answered.
+    std::vector<std::shared_ptr<caller_session>> held;
     /// Whether the process would have exited.
     bool exits = false;
 };
@@ -89,13 +100,7 @@
 // A stop must not accept a request that it cuts off before the deadline.
 TEST(planned_stop, refuses_requests_that_may_outlast_it)
 {
-    auto held = std::vector<std::shared_ptr<caller_session>>{};
-    auto const hold = [&held](
-                          std::shared_ptr<caller_session> const& from,
-                          http::request const&) {
-        held.push_back(from);
-    };
-    auto with = stopping_relay{hold, seconds{5}};
+    auto with = stopping_relay{seconds{5}};
     ASSERT_TRUE(with.world.start());
     with.stop();
     run_for(with.world, with.exits, milliseconds{3'250});
@@ -104,7 +109,7 @@
     caller.write(request_to("/once/a"));
     run_for(with.world, with.exits, milliseconds{300});
     caller.read_some(65'536);
-    EXPECT_TRUE(held.empty());
+    EXPECT_TRUE(with.held.empty());
     EXPECT_TRUE(caller.received.starts_with("HTTP/1.1 503")) << caller.received;
     EXPECT_NE(caller.received.find("Retry-After: 0.05"), std::string::npos);
 }
@@ -113,17 +118,11 @@
 // sent none.
 TEST(planned_stop, answers_requests_in_progress_before_it_cuts_them_off)
 {
-    auto held = std::vector<std::shared_ptr<caller_session>>{};
-    auto const hold = [&held](
-                          std::shared_ptr<caller_session> const& from,
-                          http::request const&) {
-        held.push_back(from);
-    };
-    auto with = stopping_relay{hold, milliseconds{700}};
+    auto with = stopping_relay{milliseconds{700}};
     ASSERT_TRUE(with.world.start());
     auto caller = raw_caller{with.world.loop, with.world.caller_address()};
     caller.write(request_to("/once/a"));
-    ASSERT_TRUE(with.world.run_until([&] { return !held.empty(); }));
+    ASSERT_TRUE(with.world.run_until([&] { return !with.held.empty(); }));
     with.stop();
     ASSERT_TRUE(with.world.run_until([&] { return with.exits; }));
     std::this_thread::sleep_for(milliseconds{20});
