LOST: let an exchange outlive the state of its relay

Found by the address sanitizer in the test of a stream that was stopped to migrate, once in two runs: a loop that is destroyed with a deadline pending destroys its exchange after the relay's state, and that took itself out of a list that no longer existed. The program itself ends without running destructors; the tests do not. The list is shared by state and exchanges now.

--- a/packages/relay/include/sapphirereel/relay/exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/exchange.hpp
@@ -168,6 +168,7 @@
 
     [[nodiscard]] auto default_retry_after(refusal_reason why) -> duration;
 
+    std::shared_ptr<std::set<exchange*>> open_exchanges_;
     interruption_handler interrupted_;
     /// Digest of the request's content, computed on first use.
     std::optional<digest> fingerprint_;
--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -183,7 +183,7 @@
         stop_began_ = telemetry::monotonic_now();
         state_.log.info(
             "stop", "planned stop began",
-            {{"active", state_.open_exchanges.size()}});
+            {{"active", state_.open_exchanges->size()}});
         peers_.send_report(report_scope::unresponsive);
         check_stop();
     }
@@ -292,7 +292,7 @@
                 read->id, state_);
             return;
         }
-        if (state_.open_exchanges.size() >= max_active_requests)
+        if (state_.open_exchanges->size() >= max_active_requests)
         {
             send_refusal(
                 *from, {refusal_reason::overload, 503, std::chrono::seconds{1}},
@@ -533,7 +533,7 @@
         {
             state_.log.info(
                 "stop", "interrupting the requests in progress",
-                {{"active", state_.open_exchanges.size()}});
+                {{"active", state_.open_exchanges->size()}});
             interrupt_requests(interruption::stop);
         }
         auto const may_exit = stopping_for >= min_stop_time || is_cut_due;
@@ -560,12 +560,12 @@
     /// none has begun.
     auto interrupt_requests(interruption why) -> void
     {
-        auto const open = state_.open_exchanges;
+        auto const open = *state_.open_exchanges;
         for (auto* const each : open)
         {
             // The end of one request may end another.
             auto const is_concerned =
-                state_.open_exchanges.contains(each) &&
+                state_.open_exchanges->contains(each) &&
                 (why != interruption::poison || each->is_poisoned());
             if (is_concerned)
             {
@@ -577,7 +577,7 @@
     /// Whether a caller waits for an answer or has not received all of it.
     [[nodiscard]] auto is_in_use() const -> bool
     {
-        return !state_.open_exchanges.empty() || !sessions_in_use().empty();
+        return !state_.open_exchanges->empty() || !sessions_in_use().empty();
     }
 
     [[nodiscard]] auto sessions_in_use() const
--- a/packages/relay/include/sapphirereel/relay/relay_state.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_state.hpp
@@ -112,8 +112,10 @@
     std::size_t daemons = 1;
     /// Longest time for which a leaving replica may be sent requests.
     duration drain_limit{std::chrono::seconds{2}};
-    /// Requests in progress.
-    std::set<exchange*> open_exchanges;
+    /// Requests in progress. Shared, because an exchange that the event loop
+    /// holds may be destroyed after this state.
+    std::shared_ptr<std::set<exchange*>> open_exchanges =
+        std::make_shared<std::set<exchange*>>();
     bool stopping = false;
 };
 
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -14,15 +14,16 @@
     , service(pick_service())
     , started_at(telemetry::monotonic_now())
     , deadline_timer(shared.loop)
+    , open_exchanges_(shared.open_exchanges)
 {
-    state.open_exchanges.insert(this);
+    open_exchanges_->insert(this);
     state.metrics.add(relay_counter::requests);
     state.retries_of(service).record_request(started_at);
 }
 
 exchange::~exchange()
 {
-    state.open_exchanges.erase(this);
+    open_exchanges_->erase(this);
 }
 
 auto exchange::set_handlers(
