--- /dev/null
+++ b/test/support/relay/relay_fleet.hpp
@@ -0,0 +1,200 @@
+/// \file
+/// Defines a fixture that runs several relays, which report to each other, on
+/// one event loop in the test's process.
+#ifndef SAPPHIREREEL_TEST_SUPPORT_RELAY_RELAY_FLEET_HPP
+#define SAPPHIREREEL_TEST_SUPPORT_RELAY_RELAY_FLEET_HPP
+
+#include "support/relay/relay_fixture.hpp"
+
+#include <cstddef>
+#include <deque>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sapphirereel::relay::test {
+
+/// Writes a replica's record to a log.
+inline auto add_replica(
+    fake_log& log,
+    std::string const& id,
+    std::string const& service,
+    std::uint16_t port) -> void
+{
+    log.write(
+        keyed_stream::replicas, id,
+        fmt::format(
+            R"({{"service":"{}","address":"{}:{}","zone":"z",)"
+            R"("slots":4,"state":"ready"}})",
+            service, process_loopback_ip(), port));
+}
+
+/// Writes a configuration with the routes /safe/ and /once/ to the service
+/// `plain` and /stream/ to the service `engine`.
+inline auto write_configuration(fake_log& log) -> void
+{
+    log.write(
+        keyed_stream::configuration, "config",
+        R"({"version":1,"routes":[)"
+        R"({"name":"safe","host":"h","path-prefix":"/safe/","kind":"safe",)"
+        R"("service":"plain","max-attempts":2,"timeout-ms":1500,)"
+        R"("target-latency-ms":150},)"
+        R"({"name":"once","host":"h","path-prefix":"/once/",)"
+        R"("kind":"unsafe","service":"plain","timeout-ms":1500,)"
+        R"("target-latency-ms":150},)"
+        R"({"name":"stream","host":"h","path-prefix":"/stream/",)"
+        R"("kind":"streaming","service":"engine","timeout-ms":5000}],)"
+        R"("services":[{"name":"plain"},{"name":"engine",)"
+        R"("engine":{"kv-cache-tokens":9000,"kv-token-bytes":10,)"
+        R"("link-mbps":1000,"moves":true,"backups":true,"stride":1}}]})");
+}
+
+/// Relays with their own logs, and callers.
+class relay_fleet
+{
+public:
+    using node_type = relay_node<
+        deployment::wire_format,
+        fake_log,
+        deployment::record_reader>;
+
+    explicit relay_fleet(std::size_t daemons)
+    {
+        auto const callers = free_port(loop);
+        auto const peers = free_port(loop);
+        for (auto at = std::size_t{0}; at < daemons; ++at)
+        {
+            logs.push_back(std::make_unique<fake_log>(loop));
+            write_configuration(*logs.back());
+            nodes.push_back(std::make_unique<node_type>(
+                loop, settings_of(at, callers, peers), *logs.back(),
+                std::move(*length_estimator::create({})), at + 1));
+            nodes.back()->state().log =
+                process_log{[this](std::string_view line) {
+                    lines.emplace_back(line);
+                    return true;
+                }};
+        }
+        caller_port_ = callers;
+    }
+
+    /// Adds a replica to the logs of all relays.
+    auto add(
+        std::string const& id, std::string const& service, std::uint16_t port)
+        -> void
+    {
+        for (auto const& each : logs)
+        {
+            add_replica(*each, id, service, port);
+        }
+    }
+
+    /// Starts the relays and waits until each has read its log and has heard
+    /// of all others.
+    auto start() -> bool
+    {
+        for (auto const& each : nodes)
+        {
+            if (!each->start())
+            {
+                return false;
+            }
+        }
+        return run_until([this] {
+            return std::all_of(
+                nodes.begin(), nodes.end(), [this](auto const& each) {
+                    return each->is_ready() &&
+                           each->caller_addresses().size() == nodes.size() &&
+                           !each->state().replicas.replicas().empty();
+                });
+        });
+    }
+
+    /// Runs the event loop until a condition holds, for 8 seconds at most.
+    template <class Condition>
+    auto run_until(Condition holds) -> bool
+    {
+        auto const end =
+            std::chrono::steady_clock::now() + std::chrono::seconds{8};
+        while (!holds() && std::chrono::steady_clock::now() < end)
+        {
+            loop.run_for(std::chrono::milliseconds{2});
+            loop.restart();
+        }
+        return holds();
+    }
+
+    auto run_for(duration length) -> void
+    {
+        loop.run_for(length);
+        loop.restart();
+    }
+
+    /// Sends a request to a relay; its response is added to `responses`.
+    auto send_request(std::size_t to, std::string const& target) -> void
+    {
+        auto const id = fmt::format("r{}", ++requests_);
+        buffered_call::start(
+            loop, pool_, {asio::ip::make_address(ip_of(to)), caller_port_},
+            http::write_request(
+                "GET", target,
+                {{"Host", "h"}, {"X-Sapphirereel-Request-Id", id}}, {}),
+            std::chrono::seconds{6}, [this](buffered_response answer) {
+                responses.push_back(std::move(answer));
+            });
+    }
+
+    /// Number of responses with a status.
+    [[nodiscard]] auto count_of(int status) const -> std::size_t
+    {
+        return static_cast<std::size_t>(std::count_if(
+            responses.begin(), responses.end(), [&](auto const& each) {
+                return each && each->head.status == status;
+            }));
+    }
+
+    /// Whether a log line of any relay contains a message.
+    [[nodiscard]] auto logged(std::string_view message) const -> bool
+    {
+        return std::any_of(
+            lines.begin(), lines.end(), [&](std::string const& line) {
+                return line.find(message) != std::string::npos;
+            });
+    }
+
+    asio::io_context loop;
+    std::vector<std::unique_ptr<fake_log>> logs;
+    std::vector<std::unique_ptr<node_type>> nodes;
+    std::deque<buffered_response> responses;
+    std::vector<std::string> lines;
+
+private:
+    static auto ip_of(std::size_t daemon) -> std::string
+    {
+        auto ip = process_loopback_ip();
+        ip.replace(ip.rfind('.') + 1, 1, std::to_string(daemon + 2));
+        return ip;
+    }
+
+    static auto settings_of(
+        std::size_t daemon, std::uint16_t callers, std::uint16_t peers)
+        -> relay_settings
+    {
+        auto settings = relay_settings{};
+        settings.zone = zone_name{"z"};
+        settings.callers = {ip_of(daemon), callers};
+        settings.peers = {ip_of(daemon), peers};
+        settings.seeds = {ip_of(0)};
+        settings.retry_budget = {0.2, 50, std::chrono::seconds{10}};
+        return settings;
+    }
+
+    std::uint16_t caller_port_ = 0;
+    std::size_t requests_ = 0;
+    upstream_pool pool_{loop};
+};
+
+} // namespace sapphirereel::relay::test
+
+#endif
