LIMIT: send to replicas that state a limit by permits of one daemon

Cause: nothing read the limit, and no part of the relay counted what all daemons together send to one replica. First sends, retries, moved runs and migration requests went out by four paths, each with checks of its own.

Change: responses' limits are recorded in a registry that daemons report to each other (report version 5). Whatever goes to a replica passes send_gate. A replica that states a rate gets only what its home has issued a permit for: one daemon by rendezvous hashing over the daemons that are alive, asked by datagram. Where the home does not answer, nothing is sent. What is left over goes to the service's other replicas; what none takes is refused, not run. A replica that states how many rejections it bears is sent requests only with room.

--- a/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
@@ -88,16 +88,12 @@
             give_up(refusal_reason::deadline, 504, "no time is left");
             return;
         }
-        auto const chosen = exchange_.state.replicas.choose(
+        auto const chosen = exchange_.choose(
             {exchange_.service, 0, 0, exchange_.excluded, {}}, std::nullopt,
             now);
         if (!chosen)
         {
-            if (!fallback_ && exchange_.refuse_during_backoff(now))
-            {
-                return;
-            }
-            give_up(refusal_reason::no_replica, 502, "no replica is left");
+            handle_no_replica(now);
             return;
         }
         auto const to = address_of(chosen->target);
@@ -112,9 +108,38 @@
             give_up(refusal_reason::retry_budget, 502, "no retry is left");
             return;
         }
+        auto const permitted = exchange_.state.gate.take(
+            chosen->target.id, permit_use::request, now);
+        if (permitted != permission::granted)
+        {
+            handle_no_replica(now);
+            return;
+        }
         send(*chosen, *to, left);
     }
 
+    /// Waits if a replica may take the request soon, else ends it.
+    auto handle_no_replica(time_point now) -> void
+    {
+        if (exchange_.may_wait_for_open_replica(now))
+        {
+            attempt_timer_.expires_after(open_replica_poll_interval);
+            attempt_timer_.async_wait(
+                [self = this->shared_from_this()](std::error_code error) {
+                    if (!error && !self->exchange_.finished)
+                    {
+                        self->attempt();
+                    }
+                });
+            return;
+        }
+        if (!fallback_ && exchange_.refuse_if_none_takes_it(now))
+        {
+            return;
+        }
+        give_up(refusal_reason::no_replica, 502, "no replica is left");
+    }
+
     auto send(
         placement const& chosen,
         asio::ip::tcp::endpoint const& to,
@@ -122,6 +147,7 @@
     {
 
         target_ = chosen.target;
+        sent_at_ = telemetry::monotonic_now();
         exchange_.state.replicas.add(target_.id, one_request);
         is_counted_ = true;
         exchange_.state.log.request(
@@ -205,7 +231,7 @@
         }
         auto const now = telemetry::monotonic_now();
         auto const answer = Format::read_response(*head_);
-        record_replica_state(exchange_.state, target_, answer, now);
+        record_replica_state(exchange_.state, target_, answer, sent_at_, now);
         auto const is_own = answer.request_id.empty() ||
                             answer.request_id == exchange_.request.id;
         if (answer.not_run && is_own)
@@ -373,6 +399,7 @@
     asio::steady_timer attempt_timer_;
     std::shared_ptr<upstream_call> call_;
     replica target_;
+    time_point sent_at_{};
     bool is_counted_ = false;
     std::optional<http::response_head> head_;
     std::string body_;
--- a/packages/relay/include/sapphirereel/relay/exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/exchange.hpp
@@ -40,6 +40,12 @@
 /// records expire, as the replicas' software may have been fixed since.
 inline constexpr auto poison_retry_after = duration{std::chrono::seconds{60}};
 
+/// Interval at which a request that waits for an open replica looks for one,
+/// and the longest wait as a share of the route's target latency.
+inline constexpr auto open_replica_poll_interval =
+    duration{std::chrono::milliseconds{10}};
+inline constexpr auto max_wait_for_open_replica_share = 0.5;
+
 /// Why a request must end before its replica has answered.
 enum class interruption
 {
@@ -98,9 +104,20 @@
         refusal_reason why, std::optional<duration> retry_after = std::nullopt)
         -> void;
 
-    /// Refuses the request if all replicas of its service have asked for a
-    /// backoff, and so leave nothing to wait for. Returns whether it did.
-    auto refuse_during_backoff(time_point now) -> bool;
+    /// Chooses a replica that may be sent the request now.
+    auto choose(
+        placement_need need,
+        std::optional<engine_traits> const& engine,
+        time_point now) -> std::optional<placement>;
+
+    /// Whether the last choice found no replica only because of the limits that
+    /// replicas state, and one may be open while the request can still wait.
+    [[nodiscard]] auto may_wait_for_open_replica(time_point now) const -> bool;
+
+    /// Refuses the request if the last choice found no replica because all of
+    /// its service have asked for a backoff or take no more by the limits that
+    /// they state. Returns whether it did.
+    auto refuse_if_none_takes_it(time_point now) -> bool;
 
     /// Ends the request with an error status that does not state whether it was
     /// executed.
@@ -167,6 +184,8 @@
     auto content() -> digest const&;
 
     [[nodiscard]] auto default_retry_after(refusal_reason why) -> duration;
+    /// The closed replicas that the last choice left out.
+    closed_replicas closed_;
 
     std::shared_ptr<std::set<exchange*>> open_exchanges_;
     interruption_handler interrupted_;
@@ -175,12 +194,14 @@
 };
 
 /// Records what the head of a replica's response says about the replica: its
-/// load, that it leaves, and for how long it wants no requests. Ignored if
-/// another replica answered at the address.
+/// load, that it leaves, for how long it wants no requests and which limits it
+/// has. Ignored if another replica answered at the address. `sent_at` is when
+/// the request was sent.
 auto record_replica_state(
     relay_state& state,
     replica const& at,
     replica_response const& response,
+    time_point sent_at,
     time_point now) -> void;
 
 /// Responds to a request that is not served.
--- a/packages/relay/include/sapphirereel/relay/message_format.hpp
+++ b/packages/relay/include/sapphirereel/relay/message_format.hpp
@@ -8,6 +8,7 @@
 #include "sapphirereel/http/request_parser.hpp"
 #include "sapphirereel/relay/replica_table.hpp"
 #include "sapphirereel/relay/request_admission.hpp"
+#include "sapphirereel/relay/stated_limits.hpp"
 
 #include <concepts>
 #include <cstdint>
@@ -56,6 +57,8 @@
     bool leaves = false;
     /// Time for which the replica wants no more requests from this daemon.
     std::optional<duration> backoff;
+    /// What the replica states about the requests that it takes.
+    stated_limits limits;
     /// The replica that answers; empty if the response names none.
     endpoint_id replica;
     auto operator<=>(replica_response const&) const = default;
--- a/packages/relay/include/sapphirereel/relay/peer_gossip.hpp
+++ b/packages/relay/include/sapphirereel/relay/peer_gossip.hpp
@@ -9,6 +9,7 @@
 #include "sapphirereel/relay/process_log.hpp"
 #include "sapphirereel/relay/relay_metrics.hpp"
 #include "sapphirereel/relay/relay_settings.hpp"
+#include "sapphirereel/relay/send_permit.hpp"
 
 #include <asio/steady_timer.hpp>
 #include <functional>
@@ -67,6 +68,17 @@
 
     auto send_report(report_scope scope) -> void;
 
+    /// Sets the handler of requests for permits, by this daemon and by others,
+    /// and that of the responses to this daemon's own requests.
+    auto set_permit_handlers(
+        std::function<permit_response(permit_request const&, double share)>
+            issue,
+        std::function<void(permit_response const&)> responded) -> void;
+
+    /// Sends a request for a permit to the replica's home. If that is this
+    /// daemon, the response arrives at once.
+    auto request_permit(permit_request asked) -> void;
+
     /// Adds addresses at which daemons may run.
     auto set_seeds(std::vector<std::string> const& seeds) -> void;
 
@@ -90,6 +102,7 @@
 private:
     auto make_report() -> peer_report;
     auto receive(std::string_view bytes) -> void;
+    auto receive_permit_message(permit_message const& message) -> void;
     [[nodiscard]] auto is_seed() const -> bool;
     auto send_known_addresses(std::string const& ip) -> void;
     auto send_reply(peer_report const& asked) -> void;
@@ -111,6 +124,9 @@
     describer describe_;
     zone_describer describe_zone_;
     report_handler on_report_;
+    std::function<permit_response(permit_request const&, double share)>
+        issue_permit_;
+    std::function<void(permit_response const&)> on_permit_response_;
     peer_table peers_;
     std::unique_ptr<peer_socket> datagrams_;
     asio::steady_timer report_timer_;
--- a/packages/relay/include/sapphirereel/relay/peer_report.hpp
+++ b/packages/relay/include/sapphirereel/relay/peer_report.hpp
@@ -9,6 +9,7 @@
 #include "sapphirereel/relay/log_position.hpp"
 #include "sapphirereel/relay/poison_part_tracker.hpp"
 #include "sapphirereel/relay/replica_table.hpp"
+#include "sapphirereel/relay/stated_limits.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -36,10 +37,12 @@
 };
 
 /// Versions of the report's encoding: the one that daemons send each other; the
-/// one before it, which knows no prompt parts; and the one before that, which
-/// knows neither eras nor zones of addresses.
-inline constexpr auto report_version = std::uint32_t{4};
-inline constexpr auto previous_report_version = std::uint32_t{3};
+/// one before it, which knows no limits of replicas; the one before that, which
+/// knows no prompt parts; and the oldest one, which knows neither eras nor
+/// zones of addresses.
+inline constexpr auto report_version = std::uint32_t{5};
+inline constexpr auto previous_report_version = std::uint32_t{4};
+inline constexpr auto partless_report_version = std::uint32_t{3};
 inline constexpr auto oldest_report_version = std::uint32_t{2};
 
 /// An address at which a daemon may run, and its zone if that is known.
@@ -78,6 +81,8 @@
     crash_reports crashes;
     /// Replica crashes and rulings by prompt part.
     part_reports parts;
+    /// What replicas state about the requests that they take.
+    std::vector<limit_entry> limits;
     /// Addresses of other daemons that it knows.
     std::vector<known_address> known_addresses;
     /// Whether it asks for a report in return.
--- a/packages/relay/include/sapphirereel/relay/peer_table.hpp
+++ b/packages/relay/include/sapphirereel/relay/peer_table.hpp
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,15 @@
 /// for what that zone knows.
 inline constexpr auto max_full_mesh = std::size_t{100};
 
+/// The daemon that issues the permits for a replica, and the part of the
+/// replica's limit that it issues permits for.
+struct permit_home
+{
+    std::string ip;
+    double share = 1;
+    auto operator<=>(permit_home const&) const = default;
+};
+
 /// The known addresses of other daemons and their last reports.
 class peer_table
 {
@@ -64,6 +74,18 @@
     /// that does not answer is replaced by another at random.
     auto contacts(time_point now) -> std::vector<std::string>;
 
+    /// The home of a replica by rendezvous hashing over the daemons that are
+    /// alive, this one included; in a large fleet over those of this daemon's
+    /// zone.
+    [[nodiscard]] auto permit_home_of(
+        endpoint_id const& replica, time_point now) const -> permit_home;
+
+    /// The part of a replica's limit that one home issues permits for: a zone's
+    /// share in a large fleet. Less if daemons that were alive lately are not
+    /// heard any more, because they may issue permits on their side of a
+    /// partition.
+    [[nodiscard]] auto permit_share(time_point now) const -> double;
+
     /// The last reports of the daemons that are alive. In a large fleet these
     /// are all daemons of this zone and a few of each other one.
     [[nodiscard]] auto alive(time_point now) const -> std::vector<peer_report>;
@@ -106,6 +128,9 @@
     };
 
     auto add(known_address const& address) -> void;
+    /// Whether a daemon issues permits to this one.
+    [[nodiscard]] auto is_permit_member(peer const& which) const -> bool;
+    [[nodiscard]] auto zones_of_others() const -> std::set<zone_name>;
     [[nodiscard]] auto timeout() const -> duration;
     [[nodiscard]] auto is_alive(peer const& which, time_point now) const
         -> bool;
--- a/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
@@ -41,6 +41,9 @@
     peer_fetches,
     part_crashes,
     part_rulings,
+    permits_asked,
+    permits_issued,
+    permits_denied,
     count_of_counters
 };
 
@@ -78,8 +81,7 @@
 private:
     static constexpr auto counters =
         static_cast<std::size_t>(relay_counter::count_of_counters);
-    static constexpr auto reasons =
-        static_cast<std::size_t>(refusal_reason::replicas_busy) + 1;
+    static constexpr auto reasons = count_of_refusal_reasons;
 
     static constexpr auto stages =
         static_cast<std::size_t>(session_stage::count_of_stages);
--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -93,6 +93,10 @@
         state_.work_placed = [this] {
             peers_.send_report(report_scope::mesh);
         };
+        state_.limits_changed = [this] {
+            peers_.schedule_report(report_scope::all);
+        };
+        set_permit_handlers();
     }
 
     /// Opens the sockets and starts the synchronization with log and peers.
@@ -372,6 +376,27 @@
 
     // Peers.
 
+    auto set_permit_handlers() -> void
+    {
+        state_.gate.set_asker([this](permit_request const& asked) {
+            peers_.request_permit(asked);
+        });
+        peers_.set_permit_handlers(
+            [this](permit_request const& asked, double share) {
+                auto const response =
+                    state_.gate.issue(asked, share, telemetry::monotonic_now());
+                state_.metrics.add(
+                    response.wait > duration{0}
+                        ? relay_counter::permits_denied
+                        : relay_counter::permits_issued);
+                return response;
+            },
+            [this](permit_response const& response) {
+                state_.gate.apply_response(
+                    response, telemetry::monotonic_now());
+            });
+    }
+
     auto describe() -> peer_report
     {
         auto report = peer_report{};
@@ -381,6 +406,8 @@
         report.load = state_.replicas.own_load();
         report.crashes = state_.crashes.entries_to_report();
         report.parts = state_.parts.entries_to_report();
+        report.limits =
+            state_.gate.limits().entries_to_report(telemetry::monotonic_now());
         cluster_sync_.fill_report(report, telemetry::monotonic_now());
         return report;
     }
@@ -391,6 +418,7 @@
         apply_load(report, now);
         state_.crashes.apply_report(report.crashes, now);
         apply_part_reports(report.parts, now);
+        apply_limits(report.limits, now);
         if (cluster_sync_.apply_report(report, now))
         {
             cluster_sync_.update_reader_role(peers_.alive(now), now);
@@ -414,6 +442,17 @@
         }
     }
 
+    /// In a large fleet news is passed on, as for prompt parts.
+    auto apply_limits(std::vector<limit_entry> const& limits, time_point now)
+        -> void
+    {
+        auto const has_news = state_.gate.limits().apply_report(limits, now);
+        if (has_news && peers_.is_zoned())
+        {
+            peers_.schedule_report(report_scope::all);
+        }
+    }
+
     /// Rules on parts that were at several crashes, and tells the peers.
     auto update_parts(time_point now) -> void
     {
@@ -489,6 +528,7 @@
         });
         note_configuration(now);
         state_.crashes.expire(now);
+        state_.gate.expire(now);
         update_parts(now);
         cluster_sync_.tick(now);
         tick_.expires_after(tick_interval);
--- a/packages/relay/include/sapphirereel/relay/relay_state.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_state.hpp
@@ -12,6 +12,7 @@
 #include "sapphirereel/relay/replica_table.hpp"
 #include "sapphirereel/relay/retry_share.hpp"
 #include "sapphirereel/relay/routing.hpp"
+#include "sapphirereel/relay/send_gate.hpp"
 #include "sapphirereel/relay/upstream_call.hpp"
 
 #include <functional>
@@ -59,6 +60,7 @@
         , self(std::move(own_name))
         , pool(on)
         , replicas(std::move(zone), seed)
+        , gate(replicas)
         , retry_terms(terms)
         , output_lengths(std::move(lengths))
         , random(seed)
@@ -82,6 +84,7 @@
     daemon_id self;
     upstream_pool pool;
     replica_table replicas;
+    send_gate gate;
     std::shared_ptr<routing_table const> table;
     retry_budget_terms retry_terms;
     std::map<service_name, retry_share> retries;
@@ -95,6 +98,9 @@
     /// Called when this daemon has seen a crash that its peers must know of.
     std::function<void()> crash_recorded = [] {
     };
+    /// Called when a replica has stated other limits than before.
+    std::function<void()> limits_changed = [] {
+    };
     /// Running streams by their replica.
     std::map<endpoint_id, std::set<leaving_listener*>> streams;
     /// Called when this daemon's count of the load on replicas has changed.
--- a/packages/relay/include/sapphirereel/relay/replica_table.hpp
+++ b/packages/relay/include/sapphirereel/relay/replica_table.hpp
@@ -155,6 +155,14 @@
         service_name const& of, time_point now) const
         -> std::optional<duration>;
 
+    /// Whether a replica can run a request at once by the counts of all daemons
+    /// and by what it reported itself.
+    [[nodiscard]] auto has_room(
+        endpoint_id const& id,
+        placement_need const& need,
+        std::optional<engine_traits> const& engine,
+        time_point now) const -> bool;
+
     /// The replica with the lowest score; none if no replica of the service
     /// accepts work.
     auto choose(
@@ -205,6 +213,10 @@
         std::uint32_t sent = 0;
     };
 
+    /// Requests on a replica by the counts of all daemons, or by its own report
+    /// if that is recent and states more.
+    [[nodiscard]] auto busy_slots(
+        replica const& candidate, time_point now) const -> std::uint32_t;
     /// Score by the share of slots in use; applies if `choose` is given no
     /// engine traits.
     [[nodiscard]] auto plain_score(
--- a/packages/relay/include/sapphirereel/relay/request_admission.hpp
+++ b/packages/relay/include/sapphirereel/relay/request_admission.hpp
@@ -59,9 +59,15 @@
     stopping,
     crashes_replicas,
     /// All replicas of the service have asked for a backoff.
-    replicas_busy
+    replicas_busy,
+    /// The replicas of the service take no more requests now, by the limits
+    /// that they state.
+    replicas_limited
 };
 
+inline constexpr auto count_of_refusal_reasons =
+    static_cast<std::size_t>(refusal_reason::replicas_limited) + 1;
+
 /// The name of a reason in logs and metrics.
 auto name_of(refusal_reason reason) -> std::string_view;
 
@@ -86,6 +92,8 @@
     std::optional<customer_id> customer;
     /// Time by which the final answer must be sent.
     time_point deadline;
+    /// The customer's priority, or the route's; 0 is the most urgent.
+    int priority = 0;
     /// The part of its prompt that the request tries, to see whether it still
     /// crashes replicas.
     std::optional<digest> trial_part = std::nullopt;
--- a/packages/relay/include/sapphirereel/relay/run_migrator.hpp
+++ b/packages/relay/include/sapphirereel/relay/run_migrator.hpp
@@ -200,6 +200,13 @@
     auto send_request(bool stop) -> void
     {
         requested_at_ = telemetry::monotonic_now();
+        auto const permitted =
+            state_.gate.take(source_.id, permit_use::running, requested_at_);
+        if (permitted != permission::granted)
+        {
+            wait_for_permit(stop);
+            return;
+        }
         auto const is_allowed =
             state_.replicas.take_backoff_allowance(source_.id, requested_at_);
         if (!is_allowed)
@@ -232,6 +239,21 @@
             });
     }
 
+    /// Tries again until the replica's limit permits the request or the replica
+    /// accepts none any more.
+    auto wait_for_permit(bool stop) -> void
+    {
+        if (requested_at_ - noticed_at_ >= state_.drain_limit)
+        {
+            state_.log.request(
+                request_id_, "not migrated: its replica takes no more requests",
+                {{"replica", source_.id}, {"orders", requests_sent_}});
+            give_up();
+            return;
+        }
+        after(migration_retry_delay, [this, stop] { send_request(stop); });
+    }
+
     auto handle_response(bool stop, buffered_response const& answer) -> void
     {
         request_.reset();
@@ -241,7 +263,7 @@
         {
             record_replica_state(
                 state_, replica{source_}, Format::read_response(answer->head),
-                telemetry::monotonic_now());
+                requested_at_, telemetry::monotonic_now());
         }
         if (read.outcome != migration_outcome::copied)
         {
--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -29,6 +29,11 @@
 inline constexpr auto max_wait_for_capacity =
     duration{std::chrono::milliseconds{5'000}};
 
+/// Longest time for which a run that is to resume at a replica waits until the
+/// replica's limit permits it.
+inline constexpr auto max_wait_for_resume_permit =
+    duration{std::chrono::milliseconds{1'000}};
+
 /// Serves one stream. Kept alive by the handlers of its pending operations.
 template <message_format Format>
 class stream_exchange final
@@ -142,6 +147,16 @@
             {}};
     }
 
+    /// The same, without the replicas that state limits: a run can't be resumed
+    /// there at any time.
+    [[nodiscard]] auto unlimited_need() const -> placement_need
+    {
+        auto requirement = need();
+        requirement.excluded.merge(
+            exchange_.state.gate.limits().limited_replicas());
+        return requirement;
+    }
+
     /// KV cache memory that the run holds, in tokens.
     [[nodiscard]] auto held_tokens() const -> double
     {
@@ -168,18 +183,21 @@
             give_up(refusal_reason::deadline, 504, "no time is left");
             return;
         }
-        auto const chosen =
-            exchange_.state.replicas.choose(need(), exchange_.engine(), now);
+        auto const chosen = exchange_.choose(need(), exchange_.engine(), now);
         auto const to = chosen ? address_of(chosen->target) : std::nullopt;
+        auto const waited = now - exchange_.started_at;
         if (!to)
         {
-            if (!exchange_.refuse_during_backoff(now))
+            if (exchange_.may_wait_for_open_replica(now))
+            {
+                wait_for_capacity(waited);
+            }
+            else if (!exchange_.refuse_if_none_takes_it(now))
             {
                 give_up(refusal_reason::no_replica, 502, "no replica is left");
             }
             return;
         }
-        auto const waited = now - exchange_.started_at;
         auto& pace = exchange_.state.prefill_pace_of(exchange_.service);
         auto const tokens_ahead = chosen->pending_prefill_tokens + size_.prompt;
         auto const estimate = dispatch_estimate{
@@ -195,8 +213,14 @@
             give_up(refusal_reason::retry_budget, 502, "no retry is left");
             return;
         }
+        auto const permitted = exchange_.state.gate.take(
+            chosen->target.id, permit_use::request, now);
+        if (permitted != permission::granted)
+        {
+            wait_for_capacity(waited);
+            return;
+        }
         log_sent(*chosen, estimate);
-        sent_at_ = now;
         tokens_ahead_ = tokens_ahead;
         ++exchange_.sends;
         ++exchange_.runs;
@@ -256,6 +280,7 @@
         auto const now = telemetry::monotonic_now();
         unregister_stream();
         target_ = target;
+        sent_at_ = now;
         register_stream();
         auto const memory = need().memory_tokens;
         splitter_ = {};
@@ -263,7 +288,8 @@
         source_ended_ = false;
         ended_between_events_ = false;
         backup_.choose(
-            {need(), target_, expected_output_}, exchange_.engine(), now);
+            {unlimited_need(), target_, expected_output_}, exchange_.engine(),
+            now);
         load_.place(
             target.id, {1, memory, resumed ? 0 : size_.prompt,
                         backup_.holder() ? 0 : held_tokens()});
@@ -318,11 +344,9 @@
         stopped_.reset();
         kept_at_source_.reset();
         is_resuming_ = true;
-        send(
-            next, *to,
-            continuation{
-                fmt::format("{}/{}", host_and_port(next), exchange_.request.id),
-                *events_.last_number()});
+        resume_at(
+            next,
+            fmt::format("{}/{}", host_and_port(next), exchange_.request.id));
         return true;
     }
 
@@ -355,7 +379,8 @@
         not_run_ = answer.not_run;
         is_signed_ = answer.is_signed;
         // Last, because a replica that leaves starts this run's migration.
-        record_replica_state(exchange_.state, replica{target_}, answer, now);
+        record_replica_state(
+            exchange_.state, replica{target_}, answer, sent_at_, now);
     }
 
     auto receive(std::string const& body) -> void
@@ -647,7 +672,7 @@
     auto choose_destination() -> std::optional<migration_destination>
     {
         exchange_.excluded.insert(target_.id);
-        auto requirement = need();
+        auto requirement = unlimited_need();
         requirement.memory_zone = target_.zone;
         auto const chosen = exchange_.state.replicas.choose(
             requirement, exchange_.engine(), telemetry::monotonic_now());
@@ -705,11 +730,39 @@
         resume_at(run.next, memory);
     }
 
+    /// Sends the continuation once the replica's limit permits it.
     auto resume_at(replica const& next, std::string const& memory) -> void
     {
-        send(
-            next, *address_of(next),
-            continuation{memory, events_.last_number().value_or(0)});
+        resume_at(next, memory, telemetry::monotonic_now());
+    }
+
+    auto resume_at(
+        replica const& next, std::string const& memory, time_point since)
+        -> void
+    {
+        auto const now = telemetry::monotonic_now();
+        auto const permitted =
+            exchange_.state.gate.take(next.id, permit_use::running, now);
+        if (permitted == permission::granted)
+        {
+            send(
+                next, *address_of(next),
+                continuation{memory, events_.last_number().value_or(0)});
+            return;
+        }
+        if (now - since >= max_wait_for_resume_permit)
+        {
+            resume_failed();
+            return;
+        }
+        capacity_timer_.expires_after(open_replica_poll_interval);
+        capacity_timer_.async_wait([self = this->shared_from_this(), next,
+                                    memory, since](std::error_code error) {
+            if (!error && !self->exchange_.finished)
+            {
+                self->resume_at(next, memory, since);
+            }
+        });
     }
 
     /// Resumes a run that its destination has not taken at the source that
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -210,12 +210,35 @@
         max_retry_after, std::chrono::duration_cast<duration>(base * jitter));
 }
 
-auto exchange::refuse_during_backoff(time_point now) -> bool
+auto exchange::choose(
+    placement_need need,
+    std::optional<engine_traits> const& engine,
+    time_point now) -> std::optional<placement>
+{
+    closed_ = state.gate.find_closed(need, engine, granted.priority, now);
+    need.excluded.insert(closed_.ids.begin(), closed_.ids.end());
+    return state.replicas.choose(need, engine, now);
+}
+
+auto exchange::may_wait_for_open_replica(time_point now) const -> bool
+{
+    auto const limit =
+        granted.route->target_latency * max_wait_for_open_replica_share;
+    return closed_.may_open_soon && now - started_at < limit;
+}
+
+auto exchange::refuse_if_none_takes_it(time_point now) -> bool
 {
     if (may_have_run())
     {
         return false;
     }
+    if (!closed_.ids.empty())
+    {
+        state.gate.record_refusal(service, granted.priority, now);
+        refuse(refusal_reason::replicas_limited);
+        return true;
+    }
     auto const wait = state.replicas.time_until_accepted(service, now);
     if (wait)
     {
@@ -228,6 +251,7 @@
     relay_state& state,
     replica const& at,
     replica_response const& response,
+    time_point sent_at,
     time_point now) -> void
 {
     auto const is_other =
@@ -240,6 +264,19 @@
     {
         state.replicas.set_reported_load(at.id, *response.load, now);
     }
+    if (state.gate.limits().record_response(at, response.limits, sent_at, now))
+    {
+        state.log.info(
+            "replicas", "a replica states other limits",
+            {{"replica", at.id},
+             {"rate", response.limits.rate.value_or(0)},
+             {"rejections", response.limits.rejections.value_or(0)}});
+        state.limits_changed();
+    }
+    if (response.not_run)
+    {
+        state.gate.record_rejection(at.id, now);
+    }
     if (response.backoff)
     {
         state.metrics.add(relay_counter::replica_backoffs);
--- a/packages/relay/src/peer_gossip.cpp
+++ b/packages/relay/src/peer_gossip.cpp
@@ -196,8 +196,47 @@
     send({ip}, std::move(report));
 }
 
+auto peer_gossip::set_permit_handlers(
+    std::function<permit_response(permit_request const&, double share)> issue,
+    std::function<void(permit_response const&)> responded) -> void
+{
+    issue_permit_ = std::move(issue);
+    on_permit_response_ = std::move(responded);
+}
+
+auto peer_gossip::request_permit(permit_request asked) -> void
+{
+    auto const now = telemetry::monotonic_now();
+    auto const home = peers_.permit_home_of(asked.replica, now);
+    metrics_.add(relay_counter::permits_asked);
+    if (home.ip == own_.ip)
+    {
+        on_permit_response_(issue_permit_(asked, home.share));
+        return;
+    }
+    asked.ip = own_.ip;
+    datagrams_->send(home.ip, write_permit_message(asked));
+}
+
+auto peer_gossip::receive_permit_message(permit_message const& message) -> void
+{
+    if (auto const* const asked = std::get_if<permit_request>(&message))
+    {
+        auto const now = telemetry::monotonic_now();
+        auto const response = issue_permit_(*asked, peers_.permit_share(now));
+        datagrams_->send(asked->ip, write_permit_message(response));
+        return;
+    }
+    on_permit_response_(std::get<permit_response>(message));
+}
+
 auto peer_gossip::receive(std::string_view bytes) -> void
 {
+    if (auto const message = read_permit_message(bytes))
+    {
+        receive_permit_message(*message);
+        return;
+    }
     auto const report = read_peer_report(bytes);
     auto const now = telemetry::monotonic_now();
     if (!report)
--- a/packages/relay/src/peer_report.cpp
+++ b/packages/relay/src/peer_report.cpp
@@ -43,11 +43,14 @@
     lapse_grace_at,
     wants_reply_at,
     zone_load_at,
-    previous_field_count,
-    /// Fields that the previous version does not have.
-    part_crashes_at = previous_field_count,
+    partless_field_count,
+    /// Fields of prompt parts.
+    part_crashes_at = partless_field_count,
     cleared_parts_at,
     part_rulings_at,
+    previous_field_count,
+    /// Fields that the previous version does not have.
+    limits_at = previous_field_count,
     field_count
 };
 
@@ -152,6 +155,8 @@
     {
     case oldest_report_version:
         return oldest_field_count;
+    case partless_report_version:
+        return partless_field_count;
     case previous_report_version:
         return previous_field_count;
     case report_version:
@@ -173,6 +178,32 @@
     }
 }
 
+auto pack_optional(packer& to, std::optional<double> const& value) -> void
+{
+    if (value)
+    {
+        to.pack(*value);
+    }
+    else
+    {
+        to.pack_nil();
+    }
+}
+
+auto write_limits(packer& to, std::vector<limit_entry> const& limits) -> void
+{
+    pack_array(to, limits.size());
+    for (auto const& each : limits)
+    {
+        pack_array(to, 5);
+        to.pack(each.id.str());
+        to.pack(each.started_at_ms);
+        to.pack(each.revision);
+        pack_optional(to, each.limits.rate);
+        pack_optional(to, each.limits.rejections);
+    }
+}
+
 /// Writes the fields that the oldest version does not have.
 auto write_present_fields(packer& to, peer_report const& report) -> void
 {
@@ -312,6 +343,26 @@
     return reports;
 }
 
+auto read_optional(msgpack::object const& from) -> std::optional<double>
+{
+    return from.is_nil() ? std::nullopt : std::optional{from.as<double>()};
+}
+
+auto read_limits(msgpack::object const& from) -> std::vector<limit_entry>
+{
+    auto limits = std::vector<limit_entry>{};
+    for (auto const& each : list_reader{from})
+    {
+        auto const fields = list_reader{each};
+        limits.push_back(
+            {endpoint_id{fields.get<std::string>(0)},
+             fields.get<std::uint64_t>(1),
+             fields.get<std::uint64_t>(2),
+             {read_optional(fields.at(3)), read_optional(fields.at(4))}});
+    }
+    return limits;
+}
+
 auto read_addresses(msgpack::object const& from, bool is_oldest)
     -> std::vector<known_address>
 {
@@ -379,10 +430,14 @@
     {
         read_present_fields(fields, report);
     }
-    if (report.version == report_version)
+    if (report.version >= previous_report_version)
     {
         report.parts = read_parts(fields);
     }
+    if (report.version == report_version)
+    {
+        report.limits = read_limits(fields.at(limits_at));
+    }
     return report;
 }
 
@@ -412,10 +467,14 @@
     {
         write_present_fields(to, report);
     }
-    if (report.version == report_version)
+    if (report.version >= previous_report_version)
     {
         write_parts(to, report.parts);
     }
+    if (report.version == report_version)
+    {
+        write_limits(to, report.limits);
+    }
     return {buffer.data(), buffer.size()};
 }
 
--- a/packages/relay/src/peer_table.cpp
+++ b/packages/relay/src/peer_table.cpp
@@ -1,5 +1,6 @@
 #include "sapphirereel/relay/peer_table.hpp"
 
+#include "sapphirereel/core/rendezvous.hpp"
 #include "sapphirereel/relay/control_intervals.hpp"
 
 #include <algorithm>
@@ -13,6 +14,10 @@
 /// Maximum number of addresses that one periodic report lists.
 constexpr auto max_addresses_in_report = std::size_t{24};
 
+/// Time for which a daemon that is not heard any more is taken to be running on
+/// the other side of a partition.
+constexpr auto partition_memory = duration{std::chrono::seconds{20}};
+
 } // namespace
 
 peer_table::peer_table(
@@ -111,15 +116,7 @@
     {
         return listed;
     }
-    auto zones = std::set<zone_name>{};
-    for (auto const& [ip, zone] : known_)
-    {
-        if (zone != own_zone_ && !zone.str().empty())
-        {
-            zones.insert(zone);
-        }
-    }
-    for (auto const& zone : zones)
+    for (auto const& zone : zones_of_others())
     {
         auto const held = contacts_.find(zone);
         auto const has_answered =
@@ -172,6 +169,64 @@
     return listed;
 }
 
+auto peer_table::permit_home_of(
+    endpoint_id const& replica, time_point now) const -> permit_home
+{
+    auto home = permit_home{own_ip_, permit_share(now)};
+    auto weight = rendezvous_weight(replica.str(), own_ip_);
+    for (auto const& [ip, each] : peers_)
+    {
+        auto const is_member = is_permit_member(each) && is_alive(each, now);
+        auto const peer_weight =
+            is_member ? rendezvous_weight(replica.str(), ip) : 0;
+        if (peer_weight > weight)
+        {
+            weight = peer_weight;
+            home.ip = ip;
+        }
+    }
+    return home;
+}
+
+auto peer_table::permit_share(time_point now) const -> double
+{
+    auto alive_members = 1.0;
+    auto recent_members = 1.0;
+    for (auto const& [ip, each] : peers_)
+    {
+        if (!is_permit_member(each))
+        {
+            continue;
+        }
+        alive_members += is_alive(each, now) ? 1 : 0;
+        recent_members +=
+            is_alive(each, now) || now - each.received_at <= partition_memory
+                ? 1
+                : 0;
+    }
+    auto const zones = is_zoned() ? zones_of_others().size() + 1 : 1;
+    return alive_members / recent_members / static_cast<double>(zones);
+}
+
+auto peer_table::is_permit_member(peer const& which) const -> bool
+{
+    auto const issues_permits = which.last.version >= report_version;
+    return issues_permits && (!is_zoned() || which.last.zone == own_zone_);
+}
+
+auto peer_table::zones_of_others() const -> std::set<zone_name>
+{
+    auto zones = std::set<zone_name>{};
+    for (auto const& [ip, zone] : known_)
+    {
+        if (zone != own_zone_ && !zone.str().empty())
+        {
+            zones.insert(zone);
+        }
+    }
+    return zones;
+}
+
 auto peer_table::timeout() const -> duration
 {
     return peer_timeout(mesh_size());
--- a/packages/relay/src/relay_metrics.cpp
+++ b/packages/relay/src/relay_metrics.cpp
@@ -39,7 +39,10 @@
     "peer_reports_received",
     "peer_fetches",
     "part_crashes",
-    "part_rulings"};
+    "part_rulings",
+    "permits_asked",
+    "permits_issued",
+    "permits_denied"};
 
 constexpr auto timing_names = std::array<
     std::string_view,
--- a/packages/relay/src/replica_table.cpp
+++ b/packages/relay/src/replica_table.cpp
@@ -354,10 +354,9 @@
            (candidate.zone == zone_ ? 0 : cross_zone_penalty);
 }
 
-auto replica_table::plain_score(replica const& candidate, time_point now) const
-    -> double
+auto replica_table::busy_slots(replica const& candidate, time_point now) const
+    -> std::uint32_t
 {
-    auto const slots = std::max(1U, candidate.slots);
     auto busy = load_of(candidate.id).requests;
     auto const reported = reported_loads_.find(candidate.id);
     if (reported != reported_loads_.end() &&
@@ -366,10 +365,31 @@
         auto const& load = reported->second.load;
         busy = std::max(busy, load.running + load.waiting);
     }
-    return static_cast<double>(busy) / slots +
+    return busy;
+}
+
+auto replica_table::plain_score(replica const& candidate, time_point now) const
+    -> double
+{
+    auto const slots = std::max(1U, candidate.slots);
+    return static_cast<double>(busy_slots(candidate, now)) / slots +
            penalty(candidate, std::nullopt, now);
 }
 
+auto replica_table::has_room(
+    endpoint_id const& id,
+    placement_need const& need,
+    std::optional<engine_traits> const& engine,
+    time_point now) const -> bool
+{
+    auto const* const listed = find(id);
+    if (listed == nullptr || busy_slots(*listed, now) >= listed->slots)
+    {
+        return false;
+    }
+    return !engine || memory_share(*listed, need, *engine) <= full_share;
+}
+
 auto replica_table::memory_share(
     replica const& candidate,
     placement_need const& need,
--- a/packages/relay/src/request_admission.cpp
+++ b/packages/relay/src/request_admission.cpp
@@ -45,6 +45,8 @@
         return "crashes_replicas";
     case refusal_reason::replicas_busy:
         return "replicas_busy";
+    case refusal_reason::replicas_limited:
+        return "replicas_limited";
     }
     return "unknown";
 }
@@ -67,7 +69,8 @@
         return tl::unexpected(
             refusal{refusal_reason::no_route, 404, std::nullopt});
     }
-    auto granted = grant{table, found, std::nullopt, now + found->timeout};
+    auto granted = grant{
+        table, found, std::nullopt, now + found->timeout, found->priority};
     auto const checks_keys =
         table->configuration().customers && !found->needs_no_key;
     if (checks_keys)
@@ -79,6 +82,7 @@
                 refusal{refusal_reason::unknown_key, 401, std::nullopt});
         }
         granted.customer = holder->name;
+        granted.priority = holder->priority.value_or(found->priority);
     }
     if (request.caller_timeout)
     {
