--- a/packages/relay/src/connection.cpp
+++ b/packages/relay/src/connection.cpp
@@ -12,13 +12,16 @@
 /// Maximum number of bytes per read.
 constexpr auto max_read_bytes = std::size_t{32'768};
 
-/// Time after which unacknowledged data fails a connection, in milliseconds.
+/// Time after which unacknowledged data, or keep-alive probes without a
+/// response, fail a connection, in milliseconds. It is above the second or so
+/// for which a sound replica may fall silent.
 constexpr auto unacknowledged_limit_ms = 2'500;
 
 /// Idle time before the first keep-alive probe and between probes, in seconds.
 constexpr auto probe_interval_s = 1;
 
-/// Unanswered keep-alive probes after which a connection fails.
+/// Unanswered keep-alive probes after which a connection fails. The limit above
+/// comes first on Linux; this one holds where probes ignore it.
 constexpr auto probe_count = 3;
 
 /// Time for which input is discarded after the last bytes were written.
--- a/test/correctness/relay/request_limits_hold_over_all_daemons.cpp
+++ b/test/correctness/relay/request_limits_hold_over_all_daemons.cpp
@@ -82,5 +82,57 @@
     EXPECT_EQ(fleet.count_of(200), fleet.responses.size());
 }
 
+// When each replica of the service takes less than callers ask for, the rest is
+// refused at once, and truly not run.
+TEST(limited_replicas, of_a_whole_service_have_the_rest_refused_at_once)
+{
+    auto fleet = relay_fleet{2};
+    auto one = fake_replica{fleet.loop, serve_with_limit};
+    auto two = fake_replica{fleet.loop, serve_with_limit};
+    fleet.add("one", "plain", one.port);
+    fleet.add("two", "plain", two.port);
+    ASSERT_TRUE(fleet.start());
+    for (auto at = 0U; at < 120; ++at)
+    {
+        fleet.send_request(at % 2, "/once/a");
+        fleet.run_for(std::chrono::milliseconds{25});
+    }
+    ASSERT_TRUE(fleet.run_until([&] { return fleet.responses.size() == 120; }));
+    auto const served = fleet.count_of(200);
+    EXPECT_EQ(served + fleet.count_of(503), 120U);
+    EXPECT_EQ(served, one.requests.size() + two.requests.size());
+    EXPECT_LE(served, 2 * allowed_in_4_s);
+    // Two replicas take four requests a second for some 3 s.
+    EXPECT_GE(served, 8U);
+    EXPECT_TRUE(fleet.logged("replicas_limited"));
+}
+
+// A limit holds only for as long as the replica states it.
+TEST(limited_replica, gets_its_share_again_when_its_limit_ends)
+{
+    auto fleet = relay_fleet{3};
+    auto is_limited = true;
+    auto limited = fake_replica{
+        fleet.loop, [&](auto const& from, http::request const& request) {
+            (is_limited ? serve_with_limit : serve_normally)(from, request);
+        }};
+    fleet.add("one", "plain", limited.port);
+    ASSERT_TRUE(fleet.start());
+    auto const send = [&](unsigned count) {
+        auto const before = fleet.count_of(200);
+        for (auto at = 0U; at < count; ++at)
+        {
+            fleet.send_request(at % 3, "/safe/a");
+            fleet.run_for(std::chrono::milliseconds{25});
+        }
+        fleet.run_for(std::chrono::milliseconds{200});
+        return fleet.count_of(200) - before;
+    };
+    EXPECT_LE(send(80), 20U);
+    is_limited = false;
+    send(60);
+    EXPECT_EQ(send(40), 40U);
+}
+
 } // namespace
 } // namespace sapphirereel::relay::test
--- a/test/fuzz/relay/peer_reports_survive_the_round_trip.cpp
+++ b/test/fuzz/relay/peer_reports_survive_the_round_trip.cpp
@@ -28,6 +28,9 @@
         {{digest{"r@1#1"}, {digest{"5c1e07a2"}}}},
         {{digest{"91bd3f06"}, {digest{"r@1#1"}}}},
         {{digest{"e4402b7d"}, 3}}};
+    report.limits = {
+        {endpoint_id{"one"}, 1'000, 3, {1.6, std::nullopt}},
+        {endpoint_id{"two"}, 2'000, 1, {std::nullopt, 4.0}}};
     report.known_addresses = {{"10.0.0.2", zone_name{"y"}}};
     EXPECT_EQ(read_peer_report(write_peer_report(report)), report);
 }
