--- a/test/support/relay/relay_fleet.hpp
+++ b/test/support/relay/relay_fleet.hpp
@@ -15,6 +15,62 @@
 
 namespace sapphirereel::relay::test {
 
+/// Ports behind which no replica is reached.
+class unreachable_port
+{
+public:
+    /// How connections to it fail.
+    enum class kind
+    {
+        /// A connection is refused.
+        refused,
+        /// A connection is reset when it is established.
+        reset,
+        /// A connection is never established.
+        dropped,
+        /// A connection is established and carries nothing.
+        silent
+    };
+
+    unreachable_port(asio::io_context& loop, kind how)
+        : port(free_port(loop))
+    {
+        auto const address = asio::ip::tcp::endpoint{
+            asio::ip::make_address(process_loopback_ip()), port};
+        if (how == kind::dropped)
+        {
+            // The kernel drops what would exceed the queue of connections that
+            // nobody accepts.
+            queue_.emplace(loop, address);
+            queue_->listen(1);
+            for (auto at = 0; at < 4; ++at)
+            {
+                fillers_.emplace_back(loop);
+                fillers_.back().async_connect(address, [](std::error_code) {});
+            }
+        }
+        if (how == kind::reset || how == kind::silent)
+        {
+            listener_ = std::move(*listener::open(
+                loop, address, [this, how](asio::ip::tcp::socket socket) {
+                    opened_.push_back(connection::adopt(std::move(socket)));
+                    if (how == kind::reset)
+                    {
+                        opened_.back()->reset();
+                    }
+                }));
+        }
+    }
+
+    std::uint16_t port;
+
+private:
+    std::optional<asio::ip::tcp::acceptor> queue_;
+    std::deque<asio::ip::tcp::socket> fillers_;
+    std::vector<std::shared_ptr<connection>> opened_;
+    std::unique_ptr<listener> listener_;
+};
+
 /// Writes a replica's record to a log.
 inline auto add_replica(
     fake_log& log,
@@ -132,14 +188,16 @@
     }
 
     /// Sends a request to a relay; its response is added to `responses`.
-    auto send_request(std::size_t to, std::string const& target) -> void
+    auto send_request(
+        std::size_t to, std::string const& target, http::field_list fields = {})
+        -> void
     {
-        auto const id = fmt::format("r{}", ++requests_);
+        fields.push_back({"Host", "h"});
+        fields.push_back(
+            {"X-Sapphirereel-Request-Id", fmt::format("r{}", ++requests_)});
         buffered_call::start(
             loop, pool_, {asio::ip::make_address(ip_of(to)), caller_port_},
-            http::write_request(
-                "GET", target,
-                {{"Host", "h"}, {"X-Sapphirereel-Request-Id", id}}, {}),
+            http::write_request("GET", target, fields, {}),
             std::chrono::seconds{6}, [this](buffered_response answer) {
                 responses.push_back(std::move(answer));
             });
