RECOVER: forward requests to peers while the path to the replicas is lost

Cause: a daemon knew only the direct way. It tried one replica after the other, 300 ms each, until the request's time was over, though its peers reached them all, and stayed in the addresses handed out.

Change: path_monitor finds the path to a service lost when two of its replicas fail in a row without a response in between. Requests of that service then go to a peer on the internal port, marked so that they take that hop once: the peer admits them and serves them like its own callers', with the time that is left. The peer is chosen by load and zone among those that are alive, report no loss of that service and have the configuration. Requests that found no replica to connect to go the same way. A daemon without a path is left out of the addresses while another has one. Replicas that fail in a row are not taken for crashed by the request.

--- a/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
@@ -5,6 +5,7 @@
 #define SAPPHIREREEL_RELAY_BUFFERED_EXCHANGE_HPP
 
 #include "sapphirereel/relay/exchange.hpp"
+#include "sapphirereel/relay/forwarded_exchange.hpp"
 
 namespace sapphirereel::relay {
 
@@ -12,12 +13,6 @@
 /// left, as a multiple of the route's target latency.
 inline constexpr auto attempt_timeout_factor = 2.0;
 
-/// Maximum idle time of a pooled connection for a request that may run only
-/// once: the other side may drop idle connections without notice, and such a
-/// request is not sent again.
-inline constexpr auto max_idle_for_single_run =
-    duration{std::chrono::milliseconds{900}};
-
 /// Serves one request. Kept alive by the handlers of its pending operations.
 template <message_format Format>
 class buffered_exchange
@@ -88,6 +83,11 @@
             give_up(refusal_reason::deadline, 504, "no time is left");
             return;
         }
+        if (may_run_again() && exchange_.must_forward(now))
+        {
+            forwarded_exchange<Format>::start(exchange_);
+            return;
+        }
         auto const chosen = exchange_.choose(
             {exchange_.service, 0, 0, exchange_.excluded, {}}, std::nullopt,
             now);
@@ -133,6 +133,12 @@
                 });
             return;
         }
+        // New connections may fail although older ones still carry responses.
+        if (all_refused_connections_ && exchange_.may_forward(now))
+        {
+            forwarded_exchange<Format>::start(exchange_);
+            return;
+        }
         if (!fallback_ && exchange_.refuse_if_none_takes_it(now))
         {
             return;
@@ -178,7 +184,10 @@
                 exchange_.request,
                 {target_.id, left, exchange_.granted.customer, {}, {}}),
             options,
-            {[self](http::response_head const& head) { self->head_ = head; },
+            {[self](http::response_head const& head) {
+                 self->head_ = head;
+                 self->exchange_.record_path_response();
+             },
              [self](std::string const& body) { self->body_ += body; },
              [self] { self->answered(); },
              [self](call_failure const& why) {
@@ -293,6 +302,10 @@
         }
         auto const now = telemetry::monotonic_now();
         exchange_.state.replicas.failed(target_.id, now);
+        if (!head_)
+        {
+            exchange_.record_path_failure(target_.id, now);
+        }
         exchange_.attribute_crash(target_, why, head_.has_value(), now);
         exchange_.excluded.insert(target_.id);
         exchange_.state.log.request(
@@ -306,6 +319,8 @@
             --exchange_.runs;
             --exchange_.sends;
         }
+        all_refused_connections_ =
+            all_refused_connections_ && why.stage == call_stage::connecting;
         if (!may_run_again())
         {
             give_up(refusal_reason::no_replica, 502, why.detail);
@@ -359,12 +374,24 @@
             needs_head_only ? std::string{} : answer.body);
     }
 
+    /// Records that the replica has not responded to an attempt that ends now
+    /// for another reason.
+    auto record_silence() -> void
+    {
+        auto const now = telemetry::monotonic_now();
+        if (call_ && !head_ && now - sent_at_ >= min_silence_of_failure)
+        {
+            exchange_.record_path_failure(target_.id, now);
+        }
+    }
+
     auto interrupted(interruption why) -> void
     {
         if (exchange_.finished)
         {
             return;
         }
+        record_silence();
         if (call_)
         {
             call_->cancel();
@@ -381,6 +408,7 @@
             return;
         }
         exchange_.deadline_timer.cancel();
+        record_silence();
         if (call_)
         {
             call_->cancel();
@@ -401,6 +429,8 @@
     replica target_;
     time_point sent_at_{};
     bool is_counted_ = false;
+    /// Whether no attempt got further than to connect.
+    bool all_refused_connections_ = true;
     std::optional<http::response_head> head_;
     std::string body_;
     /// A replica's 5xx response, forwarded if no other attempt gets a better
--- a/packages/relay/include/sapphirereel/relay/cluster_sync.hpp
+++ b/packages/relay/include/sapphirereel/relay/cluster_sync.hpp
@@ -138,6 +138,12 @@
         report.lapse_grace = lapse_grace_left(now);
     }
 
+    /// Position behind the last change of the configuration that was applied.
+    [[nodiscard]] auto configuration_position() const -> log_position
+    {
+        return configuration_.cache().changed_until();
+    }
+
     /// Applies a peer's report. Returns true if the peer has lost or regained
     /// access to the log, which may change the selection of primary readers.
     auto apply_report(peer_report const& report, time_point now) -> bool
--- a/packages/relay/include/sapphirereel/relay/exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/exchange.hpp
@@ -40,6 +40,17 @@
 /// records expire, as the replicas' software may have been fixed since.
 inline constexpr auto poison_retry_after = duration{std::chrono::seconds{60}};
 
+/// Maximum idle time of a pooled connection for a request that may run only
+/// once: the other side may drop idle connections without notice, and such a
+/// request is not sent again.
+inline constexpr auto max_idle_for_single_run =
+    duration{std::chrono::milliseconds{900}};
+
+/// Time without a response from which an attempt that ends counts as one that
+/// its replica did not respond to.
+inline constexpr auto min_silence_of_failure =
+    duration{std::chrono::milliseconds{300}};
+
 /// Interval at which a request that waits for an open replica looks for one,
 /// and the longest wait as a share of the route's target latency.
 inline constexpr auto open_replica_poll_interval =
@@ -104,6 +115,25 @@
         refusal_reason why, std::optional<duration> retry_after = std::nullopt)
         -> void;
 
+    /// Records that a replica of the service has sent something, or that the
+    /// attempt at a replica failed without that.
+    auto record_path_response() -> void;
+    auto record_path_failure(endpoint_id const& at, time_point now) -> void;
+
+    /// Whether the request has to go to a peer, because the path to its
+    /// replicas is lost and a peer reaches them.
+    [[nodiscard]] auto must_forward(time_point now) -> bool;
+
+    /// Whether a peer may take the request.
+    [[nodiscard]] auto may_forward(time_point now) const -> bool;
+
+    /// Ends this exchange without a response: another one takes the request
+    /// over.
+    auto hand_over() -> void;
+
+    /// Takes the request out of the retry budget, as another daemon counts it.
+    auto withdraw_from_budget() -> void;
+
     /// Chooses a replica that may be sent the request now.
     auto choose(
         placement_need need,
--- /dev/null
+++ b/packages/relay/include/sapphirereel/relay/forwarded_exchange.hpp
@@ -0,0 +1,354 @@
+/// \file
+/// Defines the exchange of a request that this daemon forwards to a peer,
+/// because it has no path to the replicas itself.
+#ifndef SAPPHIREREEL_RELAY_FORWARDED_EXCHANGE_HPP
+#define SAPPHIREREEL_RELAY_FORWARDED_EXCHANGE_HPP
+
+#include "sapphirereel/relay/exchange.hpp"
+#include "sapphirereel/relay/forward_target.hpp"
+
+namespace sapphirereel::relay {
+
+/// Time by which a peer's deadline lies before this daemon's, so that the
+/// peer's own final answer, which knows whether the request has run, arrives.
+inline constexpr auto forward_margin = duration{std::chrono::milliseconds{10}};
+
+/// Most peers that one request is forwarded to.
+inline constexpr auto max_forwards = std::size_t{3};
+
+/// Bytes buffered for a slow caller above which reading from the peer pauses.
+inline constexpr auto max_unsent_forwarded_bytes = std::size_t{262'144};
+
+/// Serves one request through a peer. Kept alive by the handlers of its pending
+/// operations.
+template <message_format Format>
+class forwarded_exchange
+    : public std::enable_shared_from_this<forwarded_exchange<Format>>
+{
+public:
+    /// Takes the request over from an exchange that nothing was sent for, or
+    /// whose attempts may be repeated.
+    static auto start(exchange& from) -> void
+    {
+        from.hand_over();
+        auto const self =
+            std::shared_ptr<forwarded_exchange>{new forwarded_exchange{from}};
+        self->begin();
+    }
+
+private:
+    explicit forwarded_exchange(exchange const& from)
+        : exchange_(from.state, from.caller, from.request, from.granted)
+    {
+        exchange_.service = from.service;
+        // The peer counts the request.
+        exchange_.withdraw_from_budget();
+    }
+
+    auto begin() -> void
+    {
+        auto const self = this->shared_from_this();
+        exchange_.set_handlers(
+            self, [self] { self->caller_disconnected(); },
+            [weak = this->weak_from_this()](interruption why) {
+                if (auto const held = weak.lock())
+                {
+                    held->interrupted(why);
+                }
+            });
+        attempt();
+    }
+
+    [[nodiscard]] auto may_run_again() const -> bool
+    {
+        return !exchange_.may_have_run() ||
+               exchange_.granted.route->kind == request_kind::idempotent;
+    }
+
+    auto attempt() -> void
+    {
+        auto const now = telemetry::monotonic_now();
+        auto const left = exchange_.remaining(now) - forward_margin;
+        if (left < min_attempt_time)
+        {
+            give_up(refusal_reason::deadline, 504, "no time is left");
+            return;
+        }
+        auto const peer =
+            tried_.size() < max_forwards
+                ? exchange_.state.choose_peer(exchange_.service, tried_, now)
+                : std::nullopt;
+        if (!peer)
+        {
+            give_up(refusal_reason::no_replica, 502, "no peer is left");
+            return;
+        }
+        if (exchange_.may_have_run() && !exchange_.may_send(now))
+        {
+            give_up(refusal_reason::retry_budget, 502, "no retry is left");
+            return;
+        }
+        forward(*peer, left, now);
+    }
+
+    auto forward(listen_address const& peer, duration left, time_point now)
+        -> void
+    {
+        auto& state = exchange_.state;
+        peer_ = peer.ip;
+        tried_.insert(peer.ip);
+        ++state.forwarded[peer_];
+        is_counted_ = true;
+        state.metrics.add(relay_counter::forwards);
+        state.log.request(
+            exchange_.request.id, "forwarded",
+            {{"peer", peer_},
+             {"service", exchange_.service},
+             {"route", exchange_.granted.route->name},
+             {"configuration",
+              exchange_.granted.table->configuration().version},
+             {"attempt", tried_.size()},
+             {"waited", now - exchange_.started_at},
+             {"left", left}});
+        head_.reset();
+        body_.clear();
+        ++exchange_.sends;
+        ++exchange_.runs;
+        auto options = call_options{};
+        options.is_head_request = exchange_.request.method == "HEAD";
+        options.max_idle = max_idle_for_single_run;
+        options.max_body_bytes = unlimited_body;
+        auto const self = this->shared_from_this();
+        call_ = state.pool.start(
+            peer.endpoint(),
+            Format::write_forwarded_request(
+                exchange_.request, left,
+                {{forwarded_by_name, state.self.str()}}),
+            options,
+            {[self](http::response_head const& head) { self->head_ = head; },
+             [self](std::string const& body) { self->receive(body); },
+             [self] { self->completed(); },
+             [self](call_failure const& why) {
+                 self->attempt_failed(why);
+             }});
+    }
+
+    auto end_attempt() -> void
+    {
+        call_.reset();
+        if (std::exchange(is_counted_, false))
+        {
+            --exchange_.state.forwarded[peer_];
+        }
+    }
+
+    /// Whether the response is passed on as it comes.
+    [[nodiscard]] auto is_stream() const -> bool
+    {
+        return exchange_.granted.route->kind == request_kind::stream &&
+               head_->status / 100 == 2;
+    }
+
+    auto receive(std::string const& body) -> void
+    {
+        if (exchange_.finished)
+        {
+            return;
+        }
+        if (!is_stream())
+        {
+            body_ += body;
+            if (body_.size() > default_max_body_bytes)
+            {
+                call_->cancel();
+                attempt_failed(
+                    {call_stage::answering, "the answer is too long"});
+            }
+            return;
+        }
+        if (!std::exchange(has_begun_, true))
+        {
+            exchange_.caller->begin_stream(
+                head_->status, head_->reason, Format::response_fields(*head_));
+        }
+        exchange_.caller->stream(body);
+        apply_backpressure();
+    }
+
+    auto apply_backpressure() -> void
+    {
+        auto const is_slow =
+            exchange_.caller->unsent_bytes() > max_unsent_forwarded_bytes;
+        if (!is_slow || !call_)
+        {
+            return;
+        }
+        call_->pause();
+        exchange_.caller->on_drained([self = this->shared_from_this()] {
+            if (self->call_)
+            {
+                self->call_->resume();
+            }
+        });
+    }
+
+    auto completed() -> void
+    {
+        end_attempt();
+        if (exchange_.finished)
+        {
+            return;
+        }
+        auto const answer = Format::read_response(*head_);
+        auto const is_peers_refusal =
+            head_->status == 503 && !answer.is_signed && !has_begun_;
+        if (is_peers_refusal && tried_.size() < max_forwards)
+        {
+            exchange_.state.log.request(
+                exchange_.request.id, "refused by a peer",
+                {{"peer", peer_}, {"reason", body_}});
+            --exchange_.runs;
+            --exchange_.sends;
+            refusal_ = http::response{*head_, body_};
+            attempt();
+            return;
+        }
+        finish();
+    }
+
+    auto finish() -> void
+    {
+        exchange_.finished = true;
+        exchange_.deadline_timer.cancel();
+        exchange_.state.metrics.add(relay_counter::answers);
+        exchange_.state.log.request(
+            exchange_.request.id, "answered by a peer",
+            {{"peer", peer_},
+             {"status", head_->status},
+             {"after", telemetry::monotonic_now() - exchange_.started_at}});
+        if (has_begun_)
+        {
+            exchange_.caller->finish_stream();
+            return;
+        }
+        respond({*head_, body_});
+    }
+
+    auto respond(http::response const& answer) -> void
+    {
+        auto const needs_head_only = exchange_.request.method == "HEAD";
+        exchange_.caller->respond(
+            answer.head.status, Format::response_fields(answer.head),
+            needs_head_only ? std::string{} : answer.body);
+    }
+
+    auto attempt_failed(call_failure const& why) -> void
+    {
+        end_attempt();
+        if (exchange_.finished)
+        {
+            return;
+        }
+        exchange_.state.metrics.add(relay_counter::forwards_failed);
+        exchange_.state.log.request(
+            exchange_.request.id, "forward failed",
+            {{"peer", peer_},
+             {"why", why.detail},
+             {"stage", static_cast<int>(why.stage)}});
+        if (why.stage == call_stage::connecting)
+        {
+            --exchange_.runs;
+            --exchange_.sends;
+        }
+        if (has_begun_ || !may_run_again())
+        {
+            give_up(refusal_reason::no_replica, 502, why.detail);
+            return;
+        }
+        attempt();
+    }
+
+    /// Ends the request: a stream that has begun by aborting the connection, so
+    /// that it does not look complete; with a peer's refusal, if that is all
+    /// that came; as not executed, if that is certain.
+    auto give_up(refusal_reason why, int status, std::string_view detail)
+        -> void
+    {
+        exchange_.caller->on_disconnect({});
+        if (has_begun_)
+        {
+            exchange_.finished = true;
+            exchange_.deadline_timer.cancel();
+            exchange_.state.metrics.add(relay_counter::streams_lost);
+            exchange_.state.log.request(
+                exchange_.request.id, "forwarded stream lost",
+                {{"peer", peer_}, {"why", std::string{detail}}});
+            exchange_.caller->abort();
+            return;
+        }
+        if (exchange_.may_have_run())
+        {
+            exchange_.fail(status, detail);
+            return;
+        }
+        if (refusal_)
+        {
+            exchange_.finished = true;
+            exchange_.deadline_timer.cancel();
+            respond(*refusal_);
+            return;
+        }
+        exchange_.refuse(why);
+    }
+
+    auto interrupted(interruption why) -> void
+    {
+        if (exchange_.finished)
+        {
+            return;
+        }
+        if (call_)
+        {
+            call_->cancel();
+        }
+        end_attempt();
+        auto const outcome = outcome_of(why);
+        give_up(outcome.refusal, outcome.status, outcome.detail);
+    }
+
+    auto caller_disconnected() -> void
+    {
+        if (std::exchange(exchange_.finished, true))
+        {
+            return;
+        }
+        exchange_.deadline_timer.cancel();
+        if (call_)
+        {
+            call_->cancel();
+        }
+        end_attempt();
+        exchange_.state.metrics.add(relay_counter::callers_gone);
+        exchange_.state.log.request(
+            exchange_.request.id, "caller disconnected",
+            {{"peer", peer_},
+             {"after", telemetry::monotonic_now() - exchange_.started_at}});
+    }
+
+    exchange exchange_;
+    std::shared_ptr<upstream_call> call_;
+    /// The peer that has the request, and all that had it.
+    std::string peer_;
+    std::set<std::string> tried_;
+    bool is_counted_ = false;
+    std::optional<http::response_head> head_;
+    std::string body_;
+    /// Whether a part of the response was passed on.
+    bool has_begun_ = false;
+    /// The last refusal of a peer.
+    std::optional<http::response> refusal_;
+};
+
+} // namespace sapphirereel::relay
+
+#endif
--- a/packages/relay/include/sapphirereel/relay/message_format.hpp
+++ b/packages/relay/include/sapphirereel/relay/message_format.hpp
@@ -109,7 +109,9 @@
     http::response const& answer,
     caller_request const& asked,
     replica_call const& call,
-    migration_request const& migration)
+    migration_request const& migration,
+    duration remaining,
+    http::field_list const& added)
 {
     {
         Format::read_request(request)
@@ -117,6 +119,9 @@
     {
         Format::write_call(asked, call)
         } -> std::same_as<std::string>;
+    {
+        Format::write_forwarded_request(asked, remaining, added)
+        } -> std::same_as<std::string>;
     {
         Format::read_response(head)
         } -> std::same_as<replica_response>;
--- /dev/null
+++ b/packages/relay/include/sapphirereel/relay/path_monitor.hpp
@@ -0,0 +1,93 @@
+/// \file
+/// Defines the detection of services whose replicas this daemon reaches no
+/// more, by the attempts that it makes for requests.
+#ifndef SAPPHIREREEL_RELAY_PATH_MONITOR_HPP
+#define SAPPHIREREEL_RELAY_PATH_MONITOR_HPP
+
+#include "sapphirereel/core/clock.hpp"
+#include "sapphirereel/core/identifier.hpp"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace sapphirereel::relay {
+
+/// Failures at so many replicas of a service in a row, without any response in
+/// between, mean that the path to them is lost. One replica may be down alone.
+inline constexpr auto failures_of_lost_path = std::size_t{2};
+
+/// Whether this daemon reaches the replicas of each service. It can't tell a
+/// lost path from the loss of the replicas; its peers can.
+class path_monitor
+{
+public:
+    /// Records that a replica of a service has sent something. Ends a loss.
+    auto record_response(service_name const& service) -> void;
+
+    /// Records that a trial connection was established. One request at a time
+    /// may then go the direct way, until a replica responds.
+    auto record_trial_connection(service_name const& service) -> void;
+
+    /// Records that a replica could not be connected to, or did not respond.
+    /// `replicas` is the number of the service's replicas. Returns whether the
+    /// path is found to be lost by that.
+    auto record_failure(
+        service_name const& service,
+        endpoint_id const& replica,
+        std::size_t replicas,
+        time_point now) -> bool;
+
+    /// Whether the path to a service is lost, or not yet known to be back.
+    [[nodiscard]] auto is_lost(service_name const& service) const -> bool;
+
+    /// Whether a request must not go the direct way. After a trial connection
+    /// the request for which this is false is the trial.
+    auto must_avoid(service_name const& service, time_point now) -> bool;
+
+    /// Whether a replica other than this one has failed and none has responded
+    /// since, so that a failure may be the path's and not the replica's.
+    [[nodiscard]] auto may_be_lost(
+        service_name const& service, endpoint_id const& replica) const -> bool;
+
+    /// The services to which the path is lost.
+    [[nodiscard]] auto lost_services() const -> std::vector<service_name>;
+
+    /// The services for which a trial connection is due; each call counts as
+    /// making them.
+    auto due_trials(time_point now) -> std::vector<service_name>;
+
+    /// Forgets failures that are too old to belong to a present loss.
+    auto expire(time_point now) -> void;
+
+private:
+    enum class path_state
+    {
+        usable,
+        lost,
+        /// A trial connection was established, and no replica has responded.
+        on_trial
+    };
+
+    struct service_path
+    {
+        /// The replicas that have failed since the last response, and when.
+        std::map<endpoint_id, time_point> failed;
+        path_state state = path_state::usable;
+        time_point next_trial_at;
+        /// Interval of trial connections; grows with each trial that fails.
+        duration trial_interval{0};
+        /// When a request was let through as a trial.
+        std::optional<time_point> trial_request_at;
+    };
+
+    static auto drop_old_failures(service_path& path, time_point now) -> void;
+
+    std::map<service_name, service_path> paths_;
+};
+
+} // namespace sapphirereel::relay
+
+#endif
--- a/packages/relay/include/sapphirereel/relay/peer_report.hpp
+++ b/packages/relay/include/sapphirereel/relay/peer_report.hpp
@@ -37,9 +37,9 @@
 };
 
 /// Versions of the report's encoding: the one that daemons send each other; the
-/// one before it, which knows no limits of replicas; the one before that, which
-/// knows no prompt parts; and the oldest one, which knows neither eras nor
-/// zones of addresses.
+/// one before it, which knows neither limits of replicas nor lost services; the
+/// one before that, which knows no prompt parts; and the oldest one, which
+/// knows neither eras nor zones of addresses.
 inline constexpr auto report_version = std::uint32_t{5};
 inline constexpr auto previous_report_version = std::uint32_t{4};
 inline constexpr auto partless_report_version = std::uint32_t{3};
@@ -83,6 +83,8 @@
     part_reports parts;
     /// What replicas state about the requests that they take.
     std::vector<limit_entry> limits;
+    /// Services whose replicas the daemon does not reach.
+    std::vector<service_name> lost_services;
     /// Addresses of other daemons that it knows.
     std::vector<known_address> known_addresses;
     /// Whether it asks for a report in return.
--- a/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
@@ -44,6 +44,10 @@
     permits_asked,
     permits_issued,
     permits_denied,
+    paths_lost,
+    forwards,
+    forwards_failed,
+    forwards_received,
     count_of_counters
 };
 
--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -7,6 +7,7 @@
 #include "sapphirereel/relay/address_selection.hpp"
 #include "sapphirereel/relay/buffered_exchange.hpp"
 #include "sapphirereel/relay/cluster_sync.hpp"
+#include "sapphirereel/relay/forward_target.hpp"
 #include "sapphirereel/relay/listener.hpp"
 #include "sapphirereel/relay/peer_gossip.hpp"
 #include "sapphirereel/relay/stop_policy.hpp"
@@ -96,6 +97,15 @@
         state_.limits_changed = [this] {
             peers_.schedule_report(report_scope::all);
         };
+        state_.choose_peer = [this](
+                                 service_name const& service,
+                                 std::set<std::string> const& excluded,
+                                 time_point now) {
+            return choose_peer(service, excluded, now);
+        };
+        state_.path_lost = [this](service_name const& service) {
+            lose_path(service);
+        };
         set_permit_handlers();
     }
 
@@ -156,17 +166,26 @@
     [[nodiscard]] auto caller_addresses() const -> std::vector<std::string>
     {
         auto ready = std::vector<ready_daemon>{};
+        auto pathless = std::vector<ready_daemon>{};
         if (is_ready())
         {
-            ready.push_back({settings_.callers.text(), settings_.zone});
+            auto const has_path = state_.paths.lost_services().empty();
+            (has_path ? ready : pathless)
+                .push_back({settings_.callers.text(), settings_.zone});
         }
         for (auto const& peer : peers_.alive(telemetry::monotonic_now()))
         {
             if (peer.accepts_callers)
             {
-                ready.push_back({peer.caller_address, peer.zone});
+                (peer.lost_services.empty() ? ready : pathless)
+                    .push_back({peer.caller_address, peer.zone});
             }
         }
+        // Daemons without a path serve through the others, if there are any.
+        if (ready.empty())
+        {
+            ready = std::move(pathless);
+        }
         if (ready.empty())
         {
             ready.push_back({settings_.callers.text(), settings_.zone});
@@ -261,8 +280,10 @@
                             : caller_limits{};
     }
 
-    auto serve(std::shared_ptr<caller_session> from, http::request request)
-        -> void
+    auto serve(
+        std::shared_ptr<caller_session> from,
+        http::request request,
+        bool is_forwarded = false) -> void
     {
         if (state_.stopping)
         {
@@ -282,6 +303,7 @@
             send_refusal(*from, granted.error(), read->id, state_);
             return;
         }
+        granted->is_forwarded = is_forwarded;
         auto const now = telemetry::monotonic_now();
         state_.parts.record_request(read->prompt_parts, now);
         if (crashes_replicas(*read, *granted))
@@ -408,6 +430,7 @@
         report.parts = state_.parts.entries_to_report();
         report.limits =
             state_.gate.limits().entries_to_report(telemetry::monotonic_now());
+        report.lost_services = state_.paths.lost_services();
         cluster_sync_.fill_report(report, telemetry::monotonic_now());
         return report;
     }
@@ -485,14 +508,108 @@
         }
     }
 
-    /// Serves the metrics page and copies of the log streams.
+    // Paths to replicas.
+
+    auto choose_peer(
+        service_name const& service,
+        std::set<std::string> const& excluded,
+        time_point now) -> std::optional<listen_address>
+    {
+        auto const chosen = choose_forward_target(
+            peers_.alive(now),
+            {service, settings_.zone, cluster_sync_.configuration_position(),
+             excluded},
+            state_.forwarded, state_.random);
+        return chosen ? std::optional{listen_address{
+                            *chosen, settings_.peers.port}}
+                      : std::nullopt;
+    }
+
+    /// Tells the peers, and closes the connections, which may hang.
+    auto lose_path(service_name const& service) -> void
+    {
+        state_.metrics.add(relay_counter::paths_lost);
+        state_.log.warning(
+            "paths", "lost the path to a service's replicas",
+            {{"service", service}});
+        for (auto const& [id, each] : state_.replicas.replicas())
+        {
+            auto const to = address_of(each);
+            if (each.service == service && to)
+            {
+                state_.pool.close_idle(*to);
+            }
+        }
+        peers_.schedule_report(report_scope::all);
+    }
+
+    /// Tries one connection to a service without a path. If it succeeds, one
+    /// request is tried.
+    auto try_path(service_name const& service) -> void
+    {
+        auto usable = std::vector<asio::ip::tcp::endpoint>{};
+        for (auto const& [id, each] : state_.replicas.replicas())
+        {
+            auto const to = address_of(each);
+            if (each.service == service && !each.leaving && to)
+            {
+                usable.push_back(*to);
+            }
+        }
+        if (usable.empty())
+        {
+            return;
+        }
+        auto pick =
+            std::uniform_int_distribution<std::size_t>{0, usable.size() - 1};
+        state_.pool.connect(
+            usable[pick(state_.random)], call_options{}.connect_timeout,
+            [this, service](
+                std::shared_ptr<connection> const& made, std::error_code) {
+                if (!made)
+                {
+                    return;
+                }
+                made->close();
+                state_.paths.record_trial_connection(service);
+                state_.log.info(
+                    "paths", "connected to a service without a path",
+                    {{"service", service}});
+            });
+    }
+
+    /// Serves a request that a peer forwarded.
+    auto serve_forwarded(
+        std::shared_ptr<caller_session> const& from, http::request request)
+        -> void
+    {
+        state_.metrics.add(relay_counter::forwards_received);
+        auto const peer = std::string{
+            http::find(request.fields, forwarded_by_name).value_or("")};
+        std::erase_if(request.fields, [](http::field const& each) {
+            return http::same_name(each.name, forwarded_by_name);
+        });
+        auto const read = Format::read_request(request);
+        state_.log.request(
+            read ? read->id : std::string{}, "received from a peer",
+            {{"peer", peer}});
+        serve(from, std::move(request), true);
+    }
+
+    /// Serves forwarded requests, the metrics page and copies of the log
+    /// streams.
     auto serve_peer(asio::ip::tcp::socket socket) -> void
     {
         sessions_.push_back(caller_session::start(
-            std::move(socket), [] { return caller_limits{}; },
+            std::move(socket), [this] { return limits(); },
             [this](
                 std::shared_ptr<caller_session> const& from,
                 http::request const& request) {
+                if (http::find(request.fields, forwarded_by_name))
+                {
+                    serve_forwarded(from, request);
+                    return;
+                }
                 if (request.target == "/metrics")
                 {
                     from->respond(
@@ -529,6 +646,11 @@
         note_configuration(now);
         state_.crashes.expire(now);
         state_.gate.expire(now);
+        state_.paths.expire(now);
+        for (auto const& service : state_.paths.due_trials(now))
+        {
+            try_path(service);
+        }
         update_parts(now);
         cluster_sync_.tick(now);
         tick_.expires_after(tick_interval);
--- a/packages/relay/include/sapphirereel/relay/relay_state.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_state.hpp
@@ -6,9 +6,11 @@
 #include "sapphirereel/core/length_estimate.hpp"
 #include "sapphirereel/relay/crash_tracker.hpp"
 #include "sapphirereel/relay/dispatch_policy.hpp"
+#include "sapphirereel/relay/path_monitor.hpp"
 #include "sapphirereel/relay/poison_part_tracker.hpp"
 #include "sapphirereel/relay/process_log.hpp"
 #include "sapphirereel/relay/relay_metrics.hpp"
+#include "sapphirereel/relay/relay_settings.hpp"
 #include "sapphirereel/relay/replica_table.hpp"
 #include "sapphirereel/relay/retry_share.hpp"
 #include "sapphirereel/relay/routing.hpp"
@@ -85,6 +87,20 @@
     upstream_pool pool;
     replica_table replicas;
     send_gate gate;
+    path_monitor paths;
+    /// Requests that peers have from this daemon, by their addresses.
+    std::map<std::string, std::size_t> forwarded;
+    /// Chooses a peer that reaches a service's replicas, other than the
+    /// excluded addresses, to forward a request to.
+    std::function<std::optional<listen_address>(
+        service_name const&, std::set<std::string> const&, time_point)>
+        choose_peer = [](auto const&, auto const&, time_point) {
+            return std::nullopt;
+        };
+    /// Called when the path to a service is found to be lost.
+    std::function<void(service_name const&)> path_lost =
+        [](service_name const&) {
+        };
     std::shared_ptr<routing_table const> table;
     retry_budget_terms retry_terms;
     std::map<service_name, retry_share> retries;
--- a/packages/relay/include/sapphirereel/relay/request_admission.hpp
+++ b/packages/relay/include/sapphirereel/relay/request_admission.hpp
@@ -97,6 +97,9 @@
     /// The part of its prompt that the request tries, to see whether it still
     /// crashes replicas.
     std::optional<digest> trial_part = std::nullopt;
+    /// Whether a peer has forwarded the request, so that it is not forwarded
+    /// again.
+    bool is_forwarded = false;
 };
 
 /// Admits or refuses a request by the configuration in force; `table` is null
--- a/packages/relay/include/sapphirereel/relay/retry_share.hpp
+++ b/packages/relay/include/sapphirereel/relay/retry_share.hpp
@@ -32,6 +32,9 @@
     /// Records a caller's request.
     auto record_request(time_point now) -> void;
 
+    /// Withdraws the latest request: another daemon counts it.
+    auto withdraw_request() -> void;
+
     /// Spends one retry; returns false if the share is used up. `daemons` is
     /// the largest number of daemons that may share the slack.
     auto try_spend(std::size_t daemons, time_point now) -> bool;
--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -8,6 +8,7 @@
 #include "sapphirereel/relay/event_sequence.hpp"
 #include "sapphirereel/relay/event_splitter.hpp"
 #include "sapphirereel/relay/exchange.hpp"
+#include "sapphirereel/relay/forwarded_exchange.hpp"
 #include "sapphirereel/relay/run_backup.hpp"
 #include "sapphirereel/relay/run_migrator.hpp"
 #include "sapphirereel/relay/stream_load.hpp"
@@ -29,6 +30,11 @@
 inline constexpr auto max_wait_for_capacity =
     duration{std::chrono::milliseconds{5'000}};
 
+/// Time without a response from which a request counts as one that its replica
+/// did not respond to: prompts of others may be read first.
+inline constexpr auto min_silence_of_stream =
+    duration{std::chrono::milliseconds{2'000}};
+
 /// Longest time for which a run that is to resume at a replica waits until the
 /// replica's limit permits it.
 inline constexpr auto max_wait_for_resume_permit =
@@ -183,15 +189,29 @@
             give_up(refusal_reason::deadline, 504, "no time is left");
             return;
         }
+        if (!exchange_.may_have_run() && exchange_.must_forward(now))
+        {
+            forward();
+            return;
+        }
         auto const chosen = exchange_.choose(need(), exchange_.engine(), now);
         auto const to = chosen ? address_of(chosen->target) : std::nullopt;
         auto const waited = now - exchange_.started_at;
         if (!to)
         {
+            // New connections may fail although older ones still carry
+            // responses.
+            auto const is_out_of_reach = has_failed_to_connect_ &&
+                                         !exchange_.may_have_run() &&
+                                         exchange_.may_forward(now);
             if (exchange_.may_wait_for_open_replica(now))
             {
                 wait_for_capacity(waited);
             }
+            else if (is_out_of_reach)
+            {
+                forward();
+            }
             else if (!exchange_.refuse_if_none_takes_it(now))
             {
                 give_up(refusal_reason::no_replica, 502, "no replica is left");
@@ -227,6 +247,16 @@
         send(chosen->target, *to, std::nullopt);
     }
 
+    /// Has a peer serve the request.
+    auto forward() -> void
+    {
+        capacity_timer_.cancel();
+        unregister_stream();
+        load_.release();
+        backup_.release();
+        forwarded_exchange<Format>::start(exchange_);
+    }
+
     /// Tries again after a short random delay; gives up after
     /// `max_wait_for_capacity`.
     auto wait_for_capacity(duration waited) -> void
@@ -372,6 +402,7 @@
     auto handle_head(http::response_head const& head) -> void
     {
         head_ = head;
+        exchange_.record_path_response();
         auto const answer = Format::read_response(head);
         auto const now = telemetry::monotonic_now();
         is_success_ = head.status / 100 == 2 && answer.is_signed &&
@@ -395,6 +426,7 @@
             return;
         }
         auto const now = telemetry::monotonic_now();
+        exchange_.record_path_response();
         for (auto const& event : splitter_.feed(body))
         {
             forward(event, now);
@@ -628,6 +660,7 @@
             return;
         }
         exchange_.state.replicas.failed(target_.id, now);
+        exchange_.record_path_failure(target_.id, now);
         exchange_.attribute_crash(target_, why, events_.has_begun(), now);
         exchange_.state.log.request(
             exchange_.request.id, "replica lost",
@@ -644,6 +677,7 @@
                 return;
             }
             --exchange_.sends;
+            has_failed_to_connect_ = true;
             retry_not_run(now);
             return;
         }
@@ -873,12 +907,26 @@
         }
     }
 
+    /// Records that the replica has not responded to a request that ends now
+    /// for another reason.
+    auto record_silence() -> void
+    {
+        auto const now = telemetry::monotonic_now();
+        auto const is_silent =
+            call_ && !head_ && now - sent_at_ >= min_silence_of_stream;
+        if (is_silent)
+        {
+            exchange_.record_path_failure(target_.id, now);
+        }
+    }
+
     auto interrupted(interruption why) -> void
     {
         if (exchange_.finished)
         {
             return;
         }
+        record_silence();
         auto const outcome = outcome_of(why);
         if (events_.has_begun())
         {
@@ -898,6 +946,7 @@
         {
             return;
         }
+        record_silence();
         auto const now = telemetry::monotonic_now();
         end(now);
         exchange_.state.metrics.add(relay_counter::callers_gone);
@@ -940,6 +989,7 @@
     /// Whether a stream without framing ended where it may be complete.
     bool ended_between_events_ = false;
     bool drained_while_resuming_ = false;
+    bool has_failed_to_connect_ = false;
     bool is_complete_ = false;
 };
 
--- a/packages/relay/include/sapphirereel/relay/upstream_call.hpp
+++ b/packages/relay/include/sapphirereel/relay/upstream_call.hpp
@@ -117,8 +117,21 @@
 class upstream_pool
 {
 public:
+    /// Establishes a connection to an address within a time.
+    using connector = std::function<void(
+        asio::ip::tcp::endpoint const&, duration, connection::connect_handler)>;
+
     explicit upstream_pool(asio::io_context& loop);
 
+    /// Replaces how connections are established.
+    auto set_connector(connector connect) -> void;
+
+    /// Establishes a connection that belongs to no call.
+    auto connect(
+        asio::ip::tcp::endpoint const& to,
+        duration limit,
+        connection::connect_handler done) -> void;
+
     /// Sends a request and returns its call.
     auto start(
         asio::ip::tcp::endpoint const& to,
@@ -156,6 +169,7 @@
         http::response_head const& head) -> void;
 
     asio::io_context& loop_;
+    connector connector_;
     std::map<asio::ip::tcp::endpoint, std::deque<idle_connection>> idle_;
     std::uint64_t opened_ = 0;
 };
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -133,7 +133,9 @@
     auto const may_have_crashed = why.connection_ended && listed != nullptr &&
                                   !listed->leaving &&
                                   why.stage != call_stage::connecting;
-    if (!may_have_crashed)
+    // Replicas that fail one after the other without any response in between
+    // are alive and out of reach.
+    if (!may_have_crashed || state.paths.may_be_lost(service, at.id))
     {
         return;
     }
@@ -210,6 +212,52 @@
         max_retry_after, std::chrono::duration_cast<duration>(base * jitter));
 }
 
+auto exchange::record_path_response() -> void
+{
+    state.paths.record_response(service);
+}
+
+auto exchange::record_path_failure(endpoint_id const& at, time_point now)
+    -> void
+{
+    auto const& listed = state.replicas.replicas();
+    auto const count =
+        std::count_if(listed.begin(), listed.end(), [this](auto const& each) {
+            return each.second.service == service && !each.second.leaving;
+        });
+    auto const is_lost = state.paths.record_failure(
+        service, at, static_cast<std::size_t>(count), now);
+    if (is_lost)
+    {
+        state.path_lost(service);
+    }
+}
+
+auto exchange::may_forward(time_point now) const -> bool
+{
+    return !granted.is_forwarded &&
+           state.choose_peer(service, {}, now).has_value();
+}
+
+auto exchange::must_forward(time_point now) -> bool
+{
+    return state.paths.is_lost(service) && may_forward(now) &&
+           state.paths.must_avoid(service, now);
+}
+
+auto exchange::hand_over() -> void
+{
+    finished = true;
+    deadline_timer.cancel();
+    caller->on_disconnect({});
+    withdraw_from_budget();
+}
+
+auto exchange::withdraw_from_budget() -> void
+{
+    state.retries_of(service).withdraw_request();
+}
+
 auto exchange::choose(
     placement_need need,
     std::optional<engine_traits> const& engine,
--- /dev/null
+++ b/packages/relay/src/forward_target.cpp
@@ -0,0 +1,67 @@
+#include "sapphirereel/relay/forward_target.hpp"
+
+#include <algorithm>
+
+namespace sapphirereel::relay {
+namespace {
+
+/// Requests that a peer of this daemon's zone may have beyond those of a peer
+/// in another zone before that one is chosen.
+constexpr auto zone_preference = 4.0;
+
+/// Upper bound of the random addend that breaks ties.
+constexpr auto tie_break_span = 0.5;
+
+auto requests_of(peer_report const& peer) -> double
+{
+    auto sum = 0.0;
+    for (auto const& [id, load] : peer.load)
+    {
+        sum += load.requests;
+    }
+    return sum;
+}
+
+auto reaches(peer_report const& peer, service_name const& service) -> bool
+{
+    return std::find(
+               peer.lost_services.begin(), peer.lost_services.end(), service) ==
+           peer.lost_services.end();
+}
+
+} // namespace
+
+auto choose_forward_target(
+    std::vector<peer_report> const& alive,
+    forward_need const& need,
+    std::map<std::string, std::size_t> const& forwarded,
+    std::mt19937_64& random) -> std::optional<std::string>
+{
+    auto best = std::optional<std::string>{};
+    auto best_score = 0.0;
+    auto tie = std::uniform_real_distribution<double>{0, tie_break_span};
+    for (auto const& peer : alive)
+    {
+        auto const is_usable =
+            peer.version >= report_version && peer.accepts_callers &&
+            peer.configuration_next >= need.configuration &&
+            !need.excluded.contains(peer.ip) && reaches(peer, need.service);
+        if (!is_usable)
+        {
+            continue;
+        }
+        auto const own = forwarded.find(peer.ip);
+        auto const score =
+            requests_of(peer) +
+            (own == forwarded.end() ? 0 : static_cast<double>(own->second)) +
+            (peer.zone == need.zone ? 0 : zone_preference) + tie(random);
+        if (!best || score < best_score)
+        {
+            best = peer.ip;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+} // namespace sapphirereel::relay
--- a/packages/relay/src/peer_report.cpp
+++ b/packages/relay/src/peer_report.cpp
@@ -51,6 +51,7 @@
     previous_field_count,
     /// Fields that the previous version does not have.
     limits_at = previous_field_count,
+    lost_services_at,
     field_count
 };
 
@@ -437,6 +438,10 @@
     if (report.version == report_version)
     {
         report.limits = read_limits(fields.at(limits_at));
+        for (auto const& each : list_reader{fields.at(lost_services_at)})
+        {
+            report.lost_services.emplace_back(each.as<std::string>());
+        }
     }
     return report;
 }
@@ -474,6 +479,11 @@
     if (report.version == report_version)
     {
         write_limits(to, report.limits);
+        pack_array(to, report.lost_services.size());
+        for (auto const& each : report.lost_services)
+        {
+            to.pack(each.str());
+        }
     }
     return {buffer.data(), buffer.size()};
 }
--- a/packages/relay/src/relay_metrics.cpp
+++ b/packages/relay/src/relay_metrics.cpp
@@ -42,7 +42,11 @@
     "part_rulings",
     "permits_asked",
     "permits_issued",
-    "permits_denied"};
+    "permits_denied",
+    "paths_lost",
+    "forwards",
+    "forwards_failed",
+    "forwards_received"};
 
 constexpr auto timing_names = std::array<
     std::string_view,
--- a/packages/relay/src/retry_share.cpp
+++ b/packages/relay/src/retry_share.cpp
@@ -35,6 +35,14 @@
     requests_.push_back(now);
 }
 
+auto retry_share::withdraw_request() -> void
+{
+    if (!requests_.empty())
+    {
+        requests_.pop_back();
+    }
+}
+
 auto retry_share::try_spend(std::size_t daemons, time_point now) -> bool
 {
     expire(now);
--- a/packages/relay/src/upstream_call.cpp
+++ b/packages/relay/src/upstream_call.cpp
@@ -204,8 +204,28 @@
 
 upstream_pool::upstream_pool(asio::io_context& loop)
     : loop_(loop)
+    , connector_([&loop](
+                     asio::ip::tcp::endpoint const& to,
+                     duration limit,
+                     connection::connect_handler done) {
+        connection::connect(loop, to, limit, std::move(done));
+    })
 {}
 
+auto upstream_pool::set_connector(connector connect) -> void
+{
+    connector_ = std::move(connect);
+}
+
+auto upstream_pool::connect(
+    asio::ip::tcp::endpoint const& to,
+    duration limit,
+    connection::connect_handler done) -> void
+{
+    ++opened_;
+    connector_(to, limit, std::move(done));
+}
+
 auto upstream_pool::start(
     asio::ip::tcp::endpoint const& to,
     std::string bytes,
@@ -228,9 +248,8 @@
         });
         return call;
     }
-    ++opened_;
-    connection::connect(
-        loop_, to, options.connect_timeout,
+    connect(
+        to, options.connect_timeout,
         [call](std::shared_ptr<connection> made, std::error_code error) {
             if (call->finished_)
             {
--- a/test/correctness/relay/daemons_without_a_path_use_their_peers.cpp
+++ b/test/correctness/relay/daemons_without_a_path_use_their_peers.cpp
@@ -17,31 +17,23 @@
     from->finish_stream();
 }
 
-/// Three daemons; the first one finds other ports in the replicas' records, at
-/// which it reaches none of them.
+/// Three daemons; the first one reaches none of the replicas.
 struct partitioned_daemon
 {
     explicit partitioned_daemon(unreachable_port::kind how)
     {
-        for (auto at = 0; at < 4; ++at)
+        auto diverted = std::map<std::uint16_t, std::uint16_t>{};
+        for (auto const* const each :
+             {&plain[0], &plain[1], &engines[0], &engines[1]})
         {
             cut.emplace_back(fleet.loop, how);
+            diverted[each->port] = cut.back().port;
         }
-        auto const list = [&](fake_log& log, std::array<std::uint16_t, 4> at) {
-            add_replica(log, "p1", "plain", at[0]);
-            add_replica(log, "p2", "plain", at[1]);
-            add_replica(log, "e1", "engine", at[2]);
-            add_replica(log, "e2", "engine", at[3]);
-        };
-        list(
-            *fleet.logs[0],
-            {cut[0].port, cut[1].port, cut[2].port, cut[3].port});
-        for (auto at = 1U; at < fleet.logs.size(); ++at)
-        {
-            list(
-                *fleet.logs[at], {plain[0].port, plain[1].port, engines[0].port,
-                                  engines[1].port});
-        }
+        fleet.divert(0, std::move(diverted));
+        fleet.add("p1", "plain", plain[0].port);
+        fleet.add("p2", "plain", plain[1].port);
+        fleet.add("e1", "engine", engines[0].port);
+        fleet.add("e2", "engine", engines[1].port);
     }
 
     /// Sends requests of each kind to the partitioned daemon for a time;
--- a/test/support/relay/relay_fleet.hpp
+++ b/test/support/relay/relay_fleet.hpp
@@ -146,6 +146,22 @@
         }
     }
 
+    /// Has a relay's connections to some ports end at other ones, behind which
+    /// no replica is reached.
+    auto divert(
+        std::size_t daemon, std::map<std::uint16_t, std::uint16_t> ports)
+        -> void
+    {
+        nodes[daemon]->state().pool.set_connector(
+            [this, ports = std::move(ports)](
+                asio::ip::tcp::endpoint to, duration limit,
+                connection::connect_handler done) {
+                auto const found = ports.find(to.port());
+                to.port(found == ports.end() ? to.port() : found->second);
+                connection::connect(loop, to, limit, std::move(done));
+            });
+    }
+
     /// Starts the relays and waits until each has read its log and has heard
     /// of all others.
     auto start() -> bool
