--- a/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
@@ -69,6 +69,13 @@
                 exchange_.runs < exchange_.granted.route->max_attempts);
     }
 
+    /// Whether a peer may be given the request. One that may have crashed a
+    /// replica is not taken further.
+    [[nodiscard]] auto may_run_elsewhere() const -> bool
+    {
+        return may_run_again() && !has_ended_connection_;
+    }
+
     auto attempt() -> void
     {
         if (exchange_.is_poisoned())
@@ -83,7 +90,7 @@
             give_up(refusal_reason::deadline, 504, "no time is left");
             return;
         }
-        if (may_run_again() && exchange_.must_forward(now))
+        if (may_run_elsewhere() && exchange_.must_forward(now))
         {
             forwarded_exchange<Format>::start(exchange_);
             return;
@@ -319,6 +326,9 @@
             --exchange_.runs;
             --exchange_.sends;
         }
+        has_ended_connection_ =
+            has_ended_connection_ ||
+            (why.connection_ended && why.stage != call_stage::connecting);
         all_refused_connections_ =
             all_refused_connections_ && why.stage == call_stage::connecting;
         if (!may_run_again())
@@ -431,6 +441,8 @@
     bool is_counted_ = false;
     /// Whether no attempt got further than to connect.
     bool all_refused_connections_ = true;
+    /// Whether a replica has ended a connection that carried the request.
+    bool has_ended_connection_ = false;
     std::optional<http::response_head> head_;
     std::string body_;
     /// A replica's 5xx response, forwarded if no other attempt gets a better
--- a/packages/relay/include/sapphirereel/relay/path_monitor.hpp
+++ b/packages/relay/include/sapphirereel/relay/path_monitor.hpp
@@ -10,7 +10,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
-#include <set>
+#include <string>
 #include <vector>
 
 namespace sapphirereel::relay {
@@ -47,10 +47,13 @@
     /// the request for which this is false is the trial.
     auto must_avoid(service_name const& service, time_point now) -> bool;
 
-    /// Whether a replica other than this one has failed and none has responded
-    /// since, so that a failure may be the path's and not the replica's.
-    [[nodiscard]] auto may_be_lost(
-        service_name const& service, endpoint_id const& replica) const -> bool;
+    /// Records that a replica ended a request's connection. Returns whether
+    /// another replica has just ended that of another request: a cut path does
+    /// that, a request that crashes replicas does not.
+    auto record_connection_end(
+        endpoint_id const& replica,
+        std::string const& request_id,
+        time_point now) -> bool;
 
     /// The services to which the path is lost.
     [[nodiscard]] auto lost_services() const -> std::vector<service_name>;
@@ -85,7 +88,15 @@
 
     static auto drop_old_failures(service_path& path, time_point now) -> void;
 
+    struct connection_end
+    {
+        endpoint_id replica;
+        std::string request_id;
+        time_point at;
+    };
+
     std::map<service_name, service_path> paths_;
+    std::optional<connection_end> last_end_;
 };
 
 } // namespace sapphirereel::relay
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -133,9 +133,8 @@
     auto const may_have_crashed = why.connection_ended && listed != nullptr &&
                                   !listed->leaving &&
                                   why.stage != call_stage::connecting;
-    // Replicas that fail one after the other without any response in between
-    // are alive and out of reach.
-    if (!may_have_crashed || state.paths.may_be_lost(service, at.id))
+    if (!may_have_crashed ||
+        state.paths.record_connection_end(at.id, request.id, now))
     {
         return;
     }
--- a/packages/relay/src/path_monitor.cpp
+++ b/packages/relay/src/path_monitor.cpp
@@ -1,6 +1,7 @@
 #include "sapphirereel/relay/path_monitor.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace sapphirereel::relay {
 namespace {
@@ -8,6 +9,9 @@
 /// Time for which a failure counts.
 constexpr auto failure_memory = duration{std::chrono::seconds{4}};
 
+/// Time within which connections to several replicas end if the path is cut.
+constexpr auto coincidence_time = duration{std::chrono::milliseconds{100}};
+
 /// Interval of the trial connections to a service to which the path is lost. It
 /// doubles if a connection is established and no response follows.
 constexpr auto first_trial_interval = duration{std::chrono::milliseconds{500}};
@@ -93,14 +97,15 @@
     return !may_try;
 }
 
-auto path_monitor::may_be_lost(
-    service_name const& service, endpoint_id const& replica) const -> bool
+auto path_monitor::record_connection_end(
+    endpoint_id const& replica, std::string const& request_id, time_point now)
+    -> bool
 {
-    auto const found = paths_.find(service);
-    return found != paths_.end() &&
-           std::any_of(
-               found->second.failed.begin(), found->second.failed.end(),
-               [&](auto const& each) { return each.first != replica; });
+    auto const before =
+        std::exchange(last_end_, connection_end{replica, request_id, now});
+    return before && before->replica != replica &&
+           before->request_id != request_id &&
+           now - before->at <= coincidence_time;
 }
 
 auto path_monitor::lost_services() const -> std::vector<service_name>
