--- a/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
@@ -92,7 +92,7 @@
         }
         if (may_run_elsewhere() && exchange_.must_forward(now))
         {
-            forwarded_exchange<Format>::start(exchange_);
+            forward(now);
             return;
         }
         auto const chosen = exchange_.choose(
@@ -125,6 +125,17 @@
         send(*chosen, *to, left);
     }
 
+    /// Has a peer serve the request; a retry if a replica had it already.
+    auto forward(time_point now) -> void
+    {
+        if (!exchange_.may_send(now))
+        {
+            give_up(refusal_reason::retry_budget, 502, "no retry is left");
+            return;
+        }
+        forwarded_exchange<Format>::start(exchange_);
+    }
+
     /// Waits if a replica may take the request soon, else ends it.
     auto handle_no_replica(time_point now) -> void
     {
@@ -141,7 +152,7 @@
             return;
         }
         // New connections may fail although older ones still carry responses.
-        if (all_refused_connections_ && exchange_.may_forward(now))
+        if (exchange_.is_out_of_reach(now))
         {
             forwarded_exchange<Format>::start(exchange_);
             return;
@@ -325,12 +336,11 @@
             exchange_.state.metrics.add(relay_counter::connections_failed);
             --exchange_.runs;
             --exchange_.sends;
+            exchange_.has_failed_to_connect = true;
         }
         has_ended_connection_ =
             has_ended_connection_ ||
             (why.connection_ended && why.stage != call_stage::connecting);
-        all_refused_connections_ =
-            all_refused_connections_ && why.stage == call_stage::connecting;
         if (!may_run_again())
         {
             give_up(refusal_reason::no_replica, 502, why.detail);
@@ -439,8 +449,6 @@
     replica target_;
     time_point sent_at_{};
     bool is_counted_ = false;
-    /// Whether no attempt got further than to connect.
-    bool all_refused_connections_ = true;
     /// Whether a replica has ended a connection that carried the request.
     bool has_ended_connection_ = false;
     std::optional<http::response_head> head_;
--- a/packages/relay/include/sapphirereel/relay/exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/exchange.hpp
@@ -124,8 +124,9 @@
     /// replicas is lost and a peer reaches them.
     [[nodiscard]] auto must_forward(time_point now) -> bool;
 
-    /// Whether a peer may take the request.
-    [[nodiscard]] auto may_forward(time_point now) const -> bool;
+    /// Whether no replica got the request because none could be connected to,
+    /// and a peer may take it.
+    [[nodiscard]] auto is_out_of_reach(time_point now) const -> bool;
 
     /// Ends this exchange without a response: another one takes the request
     /// over.
@@ -205,11 +206,15 @@
     /// executed the request.
     std::uint32_t sends = 0;
     std::uint32_t runs = 0;
+    /// Whether an attempt failed to connect.
+    bool has_failed_to_connect = false;
     time_point started_at;
     asio::steady_timer deadline_timer;
     bool finished = false;
 
 private:
+    /// Whether a peer may take the request.
+    [[nodiscard]] auto may_forward(time_point now) const -> bool;
     auto pick_service() -> service_name;
     auto content() -> digest const&;
 
--- a/packages/relay/include/sapphirereel/relay/forwarded_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/forwarded_exchange.hpp
@@ -83,7 +83,8 @@
             give_up(refusal_reason::no_replica, 502, "no peer is left");
             return;
         }
-        if (exchange_.may_have_run() && !exchange_.may_send(now))
+        // Replicas may have got the request from the peer before.
+        if (!exchange_.may_send(now))
         {
             give_up(refusal_reason::retry_budget, 502, "no retry is left");
             return;
@@ -208,7 +209,6 @@
                 exchange_.request.id, "refused by a peer",
                 {{"peer", peer_}, {"reason", body_}});
             --exchange_.runs;
-            --exchange_.sends;
             refusal_ = http::response{*head_, body_};
             attempt();
             return;
--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -191,7 +191,7 @@
         }
         if (!exchange_.may_have_run() && exchange_.must_forward(now))
         {
-            forward();
+            forward(now);
             return;
         }
         auto const chosen = exchange_.choose(need(), exchange_.engine(), now);
@@ -201,16 +201,13 @@
         {
             // New connections may fail although older ones still carry
             // responses.
-            auto const is_out_of_reach = has_failed_to_connect_ &&
-                                         !exchange_.may_have_run() &&
-                                         exchange_.may_forward(now);
             if (exchange_.may_wait_for_open_replica(now))
             {
                 wait_for_capacity(waited);
             }
-            else if (is_out_of_reach)
+            else if (exchange_.is_out_of_reach(now))
             {
-                forward();
+                forward(now);
             }
             else if (!exchange_.refuse_if_none_takes_it(now))
             {
@@ -247,9 +244,14 @@
         send(chosen->target, *to, std::nullopt);
     }
 
-    /// Has a peer serve the request.
-    auto forward() -> void
+    /// Has a peer serve the request; a retry if a replica had it already.
+    auto forward(time_point now) -> void
     {
+        if (!exchange_.may_send(now))
+        {
+            give_up(refusal_reason::retry_budget, 502, "no retry is left");
+            return;
+        }
         capacity_timer_.cancel();
         unregister_stream();
         load_.release();
@@ -677,7 +679,7 @@
                 return;
             }
             --exchange_.sends;
-            has_failed_to_connect_ = true;
+            exchange_.has_failed_to_connect = true;
             retry_not_run(now);
             return;
         }
@@ -989,7 +991,6 @@
     /// Whether a stream without framing ended where it may be complete.
     bool ended_between_events_ = false;
     bool drained_while_resuming_ = false;
-    bool has_failed_to_connect_ = false;
     bool is_complete_ = false;
 };
 
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -238,6 +238,11 @@
            state.choose_peer(service, {}, now).has_value();
 }
 
+auto exchange::is_out_of_reach(time_point now) const -> bool
+{
+    return has_failed_to_connect && sends == 0 && may_forward(now);
+}
+
 auto exchange::must_forward(time_point now) -> bool
 {
     return state.paths.is_lost(service) && may_forward(now) &&
--- a/test/correctness/relay/daemons_without_a_path_use_their_peers.cpp
+++ b/test/correctness/relay/daemons_without_a_path_use_their_peers.cpp
@@ -73,6 +73,28 @@
     }
 };
 
+// Replicas that reject a request are reached. Peers that got it as well would
+// send it to them once more each, beyond the retry budget.
+TEST(daemon_with_a_path, forwards_no_request_that_replicas_reject)
+{
+    auto fleet = relay_fleet{3};
+    auto full = fake_replica{
+        fleet.loop, [](auto const& from, http::request const&) {
+            from->respond(503, {{"X-Sapphirereel-Not-Executed", "1"}}, {});
+        }};
+    fleet.add("p1", "plain", full.port);
+    ASSERT_TRUE(fleet.start());
+    for (auto at = 0; at < 10; ++at)
+    {
+        fleet.send_request(0, at % 2 == 0 ? "/safe/a" : "/once/a");
+        fleet.run_for(std::chrono::milliseconds{20});
+    }
+    ASSERT_TRUE(fleet.run_until([&] { return fleet.responses.size() == 10; }));
+    EXPECT_EQ(fleet.count_of(503), 10U);
+    EXPECT_EQ(full.requests.size(), 10U);
+    EXPECT_FALSE(fleet.logged("received from a peer"));
+}
+
 auto expect_served(unreachable_port::kind how) -> void
 {
     auto world = partitioned_daemon{how};
