--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -405,7 +405,7 @@
         });
         peers_.set_permit_handlers(
             [this](permit_request const& asked, double share) {
-                auto const response =
+                auto response =
                     state_.gate.issue(asked, share, telemetry::monotonic_now());
                 state_.metrics.add(
                     response.wait > duration{0}
--- a/test/correctness/relay/daemons_without_a_path_use_their_peers.cpp
+++ b/test/correctness/relay/daemons_without_a_path_use_their_peers.cpp
@@ -38,11 +38,11 @@
 
     /// Sends requests of each kind to the partitioned daemon for a time;
     /// returns the share that was served.
-    auto served_share(int rounds) -> double
+    auto served_share(unsigned rounds) -> double
     {
         auto const before = fleet.count_of(200);
-        auto const sent = fleet.responses.size() + 3U * rounds;
-        for (auto round = 0; round < rounds; ++round)
+        auto const sent = fleet.responses.size() + 3 * std::size_t{rounds};
+        for (auto round = 0U; round < rounds; ++round)
         {
             for (auto const* const target : {"/safe/a", "/once/a", "/stream/a"})
             {
--- a/test/correctness/relay/lost_paths_are_told_from_lost_replicas.cpp
+++ b/test/correctness/relay/lost_paths_are_told_from_lost_replicas.cpp
@@ -102,33 +102,33 @@
 protected:
     auto choose() -> std::optional<std::string>
     {
-        return choose_forward_target(peers_, need_, forwarded_, random_);
+        return choose_forward_target(peers, need, forwarded, random);
     }
 
-    std::vector<peer_report> peers_{peer_of("near", "z"), peer_of("far", "y")};
-    forward_need need_{service, zone_name{"z"}, 9, {}};
-    std::map<std::string, std::size_t> forwarded_;
-    std::mt19937_64 random_{1};
+    std::vector<peer_report> peers{peer_of("near", "z"), peer_of("far", "y")};
+    forward_need need{service, zone_name{"z"}, 9, {}};
+    std::map<std::string, std::size_t> forwarded;
+    std::mt19937_64 random{1};
 };
 
 TEST_F(forward_target, is_near_unless_that_is_busier)
 {
     EXPECT_EQ(choose(), "near");
-    forwarded_["near"] = 3;
+    forwarded["near"] = 3;
     EXPECT_EQ(choose(), "near");
-    forwarded_["near"] = 6;
+    forwarded["near"] = 6;
     EXPECT_EQ(choose(), "far");
 }
 
 TEST_F(forward_target, reaches_the_service_and_has_the_configuration)
 {
-    peers_[0].lost_services = {service};
+    peers[0].lost_services = {service};
     EXPECT_EQ(choose(), "far");
-    peers_[1].configuration_next = 8;
+    peers[1].configuration_next = 8;
     EXPECT_FALSE(choose());
-    peers_[0].lost_services = {service_name{"other"}};
+    peers[0].lost_services = {service_name{"other"}};
     EXPECT_EQ(choose(), "near");
-    peers_[0].accepts_callers = false;
+    peers[0].accepts_callers = false;
     EXPECT_FALSE(choose());
 }
 
--- a/test/correctness/relay/stated_limits_are_known_to_all.cpp
+++ b/test/correctness/relay/stated_limits_are_known_to_all.cpp
@@ -68,26 +68,26 @@
 protected:
     gate_of_two()
     {
-        replicas_.set_replicas({replica_of("one"), replica_of("two")});
-        gate_.set_asker(
-            [this](permit_request const& asked) { asked_.push_back(asked); });
+        replicas.set_replicas({replica_of("one"), replica_of("two")});
+        gate.set_asker(
+            [this](permit_request const& each) { asked.push_back(each); });
     }
 
     auto closed(int priority, int ms) -> closed_replicas
     {
-        return gate_.find_closed(
+        return gate.find_closed(
             {service_name{"s"}, 0, 0, {}, {}}, std::nullopt, priority, at(ms));
     }
 
     auto state_limits(std::string const& id, stated_limits const& limits)
         -> void
     {
-        gate_.limits().record_response(replica_of(id), limits, at(0), at(0));
+        gate.limits().record_response(replica_of(id), limits, at(0), at(0));
     }
 
-    replica_table replicas_{zone_name{"z"}, 1};
-    send_gate gate_{replicas_};
-    std::vector<permit_request> asked_;
+    replica_table replicas{zone_name{"z"}, 1};
+    send_gate gate{replicas};
+    std::vector<permit_request> asked;
 };
 
 TEST_F(gate_of_two, asks_for_one_permit_at_a_time)
@@ -96,31 +96,31 @@
     state_limits("two", {2.0, {}});
     EXPECT_EQ(closed(0, 1).ids.size(), 2U);
     EXPECT_TRUE(closed(0, 2).may_open_soon);
-    ASSERT_EQ(asked_.size(), 1U);
-    gate_.apply_response(
-        {asked_[0].number, asked_[0].replica, duration{0}, {}}, at(4));
+    ASSERT_EQ(asked.size(), 1U);
+    gate.apply_response(
+        {asked[0].number, asked[0].replica, duration{0}, {}}, at(4));
     EXPECT_EQ(closed(0, 5).ids.size(), 1U);
-    EXPECT_EQ(asked_.size(), 1U);
+    EXPECT_EQ(asked.size(), 1U);
     EXPECT_EQ(
-        gate_.take(asked_[0].replica, permit_use::request, at(6)),
+        gate.take(asked[0].replica, permit_use::request, at(6)),
         permission::granted);
     EXPECT_NE(
-        gate_.take(asked_[0].replica, permit_use::request, at(7)),
+        gate.take(asked[0].replica, permit_use::request, at(7)),
         permission::granted);
     // The next one is asked for at the other replica's home.
     EXPECT_EQ(closed(0, 8).ids.size(), 2U);
-    ASSERT_EQ(asked_.size(), 2U);
-    EXPECT_NE(asked_[0].replica, asked_[1].replica);
+    ASSERT_EQ(asked.size(), 2U);
+    EXPECT_NE(asked[0].replica, asked[1].replica);
 }
 
 TEST_F(gate_of_two, leaves_permits_to_more_urgent_requests)
 {
     state_limits("one", {2.0, {}});
-    gate_.record_refusal(service_name{"s"}, 1, at(0));
+    gate.record_refusal(service_name{"s"}, 1, at(0));
     EXPECT_TRUE(closed(2, 10).ids.contains(endpoint_id{"one"}));
-    EXPECT_TRUE(asked_.empty());
+    EXPECT_TRUE(asked.empty());
     EXPECT_EQ(closed(1, 20).ids.size(), 1U);
-    EXPECT_EQ(asked_.size(), 1U);
+    EXPECT_EQ(asked.size(), 1U);
 }
 
 // A replica that fails if it rejects too often is sent nothing that may have to
@@ -129,10 +129,10 @@
 {
     state_limits("one", {{}, 3.0});
     EXPECT_TRUE(closed(0, 1).ids.empty());
-    replicas_.add(endpoint_id{"one"}, {2, 0, 0});
+    replicas.add(endpoint_id{"one"}, {2, 0, 0});
     EXPECT_TRUE(closed(0, 2).ids.contains(endpoint_id{"one"}));
-    replicas_.remove(endpoint_id{"one"}, {2, 0, 0});
-    gate_.record_rejection(endpoint_id{"one"}, at(3));
+    replicas.remove(endpoint_id{"one"}, {2, 0, 0});
+    gate.record_rejection(endpoint_id{"one"}, at(3));
     EXPECT_TRUE(closed(0, 4).ids.contains(endpoint_id{"one"}));
     EXPECT_TRUE(closed(0, 1'100).ids.empty());
 }
