Peer reports: version 6 with cold replicas, paces and waiting requests

Cause: parts to be built for deployments with hard load need state that daemons do not report yet. Versions 2 to 5 are read and answered as before; permits and forwarding ask for version 5, which has them.

--- a/packages/relay/include/sapphirereel/relay/peer_report.hpp
+++ b/packages/relay/include/sapphirereel/relay/peer_report.hpp
@@ -5,11 +5,14 @@
 #define SAPPHIREREEL_RELAY_PEER_REPORT_HPP
 
 #include "sapphirereel/core/identifier.hpp"
+#include "sapphirereel/relay/cold_entry.hpp"
 #include "sapphirereel/relay/crash_tracker.hpp"
 #include "sapphirereel/relay/log_position.hpp"
+#include "sapphirereel/relay/pace_entry.hpp"
 #include "sapphirereel/relay/poison_part_tracker.hpp"
 #include "sapphirereel/relay/replica_table.hpp"
 #include "sapphirereel/relay/stated_limits.hpp"
+#include "sapphirereel/relay/waiting_entry.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -37,11 +40,12 @@
 };
 
 /// Versions of the report's encoding: the one that daemons send each other; the
-/// one before it, which knows neither limits of replicas nor lost services; the
-/// one before that, which knows no prompt parts; and the oldest one, which
-/// knows neither eras nor zones of addresses.
-inline constexpr auto report_version = std::uint32_t{5};
-inline constexpr auto previous_report_version = std::uint32_t{4};
+/// one before it, which has no fields for cold replicas, paces and waiting
+/// requests; and earlier ones without limits of replicas and lost services,
+/// without prompt parts, and without eras and zones of addresses.
+inline constexpr auto report_version = std::uint32_t{6};
+inline constexpr auto previous_report_version = std::uint32_t{5};
+inline constexpr auto limitless_report_version = std::uint32_t{4};
 inline constexpr auto partless_report_version = std::uint32_t{3};
 inline constexpr auto oldest_report_version = std::uint32_t{2};
 
@@ -85,6 +89,12 @@
     std::vector<limit_entry> limits;
     /// Services whose replicas the daemon does not reach.
     std::vector<service_name> lost_services;
+    /// Replicas that it found to be cold.
+    std::vector<cold_entry> cold;
+    /// Usual paces of replicas that it knows.
+    std::vector<pace_entry> paces;
+    /// Requests that wait at it for a replica with room.
+    std::vector<waiting_entry> waiting;
     /// Addresses of other daemons that it knows.
     std::vector<known_address> known_addresses;
     /// Whether it asks for a report in return.
--- a/packages/relay/src/peer_report.cpp
+++ b/packages/relay/src/peer_report.cpp
@@ -1,5 +1,6 @@
 #include "sapphirereel/relay/peer_report.hpp"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <limits>
@@ -48,10 +49,15 @@
     part_crashes_at = partless_field_count,
     cleared_parts_at,
     part_rulings_at,
+    limitless_field_count,
+    /// Fields of limits and lost services.
+    limits_at = limitless_field_count,
+    lost_services_at,
     previous_field_count,
     /// Fields that the previous version does not have.
-    limits_at = previous_field_count,
-    lost_services_at,
+    cold_at = previous_field_count,
+    paces_at,
+    waiting_at,
     field_count
 };
 
@@ -158,6 +164,8 @@
         return oldest_field_count;
     case partless_report_version:
         return partless_field_count;
+    case limitless_report_version:
+        return limitless_field_count;
     case previous_report_version:
         return previous_field_count;
     case report_version:
@@ -205,6 +213,46 @@
     }
 }
 
+auto write_cold(packer& to, std::vector<cold_entry> const& cold) -> void
+{
+    pack_array(to, cold.size());
+    for (auto const& each : cold)
+    {
+        pack_array(to, 3);
+        to.pack(each.id.str());
+        to.pack(each.started_at_ms);
+        auto const left =
+            std::chrono::duration_cast<milliseconds>(each.remaining).count();
+        to.pack(std::max<std::int64_t>(0, left));
+    }
+}
+
+auto write_paces(packer& to, std::vector<pace_entry> const& paces) -> void
+{
+    pack_array(to, paces.size());
+    for (auto const& each : paces)
+    {
+        pack_array(to, 3);
+        to.pack(each.id.str());
+        to.pack(each.started_at_ms);
+        to.pack(each.usual_pace);
+    }
+}
+
+auto write_waiting(packer& to, std::vector<waiting_entry> const& waiting)
+    -> void
+{
+    pack_array(to, waiting.size());
+    for (auto const& each : waiting)
+    {
+        pack_array(to, 4);
+        to.pack(each.service.str());
+        to.pack(each.priority);
+        to.pack(each.count);
+        to.pack(static_cast<std::uint64_t>(each.tokens));
+    }
+}
+
 /// Writes the fields that the oldest version does not have.
 auto write_present_fields(packer& to, peer_report const& report) -> void
 {
@@ -364,6 +412,46 @@
     return limits;
 }
 
+auto read_cold(msgpack::object const& from) -> std::vector<cold_entry>
+{
+    auto cold = std::vector<cold_entry>{};
+    for (auto const& each : list_reader{from})
+    {
+        auto const fields = list_reader{each};
+        cold.push_back(
+            {endpoint_id{fields.get<std::string>(0)},
+             fields.get<std::uint64_t>(1),
+             milliseconds{fields.get<std::uint32_t>(2)}});
+    }
+    return cold;
+}
+
+auto read_paces(msgpack::object const& from) -> std::vector<pace_entry>
+{
+    auto paces = std::vector<pace_entry>{};
+    for (auto const& each : list_reader{from})
+    {
+        auto const fields = list_reader{each};
+        paces.push_back(
+            {endpoint_id{fields.get<std::string>(0)},
+             fields.get<std::uint64_t>(1), fields.get<double>(2)});
+    }
+    return paces;
+}
+
+auto read_waiting(msgpack::object const& from) -> std::vector<waiting_entry>
+{
+    auto waiting = std::vector<waiting_entry>{};
+    for (auto const& each : list_reader{from})
+    {
+        auto const fields = list_reader{each};
+        waiting.push_back(
+            {service_name{fields.get<std::string>(0)}, fields.get<int>(1),
+             fields.get<std::uint32_t>(2), fields.get<double>(3)});
+    }
+    return waiting;
+}
+
 auto read_addresses(msgpack::object const& from, bool is_oldest)
     -> std::vector<known_address>
 {
@@ -431,11 +519,11 @@
     {
         read_present_fields(fields, report);
     }
-    if (report.version >= previous_report_version)
+    if (report.version >= limitless_report_version)
     {
         report.parts = read_parts(fields);
     }
-    if (report.version == report_version)
+    if (report.version >= previous_report_version)
     {
         report.limits = read_limits(fields.at(limits_at));
         for (auto const& each : list_reader{fields.at(lost_services_at)})
@@ -443,6 +531,12 @@
             report.lost_services.emplace_back(each.as<std::string>());
         }
     }
+    if (report.version == report_version)
+    {
+        report.cold = read_cold(fields.at(cold_at));
+        report.paces = read_paces(fields.at(paces_at));
+        report.waiting = read_waiting(fields.at(waiting_at));
+    }
     return report;
 }
 
@@ -472,11 +566,11 @@
     {
         write_present_fields(to, report);
     }
-    if (report.version >= previous_report_version)
+    if (report.version >= limitless_report_version)
     {
         write_parts(to, report.parts);
     }
-    if (report.version == report_version)
+    if (report.version >= previous_report_version)
     {
         write_limits(to, report.limits);
         pack_array(to, report.lost_services.size());
@@ -485,6 +579,12 @@
             to.pack(each.str());
         }
     }
+    if (report.version == report_version)
+    {
+        write_cold(to, report.cold);
+        write_paces(to, report.paces);
+        write_waiting(to, report.waiting);
+    }
     return {buffer.data(), buffer.size()};
 }
 
--- a/packages/relay/src/peer_table.cpp
+++ b/packages/relay/src/peer_table.cpp
@@ -210,7 +210,7 @@
 
 auto peer_table::is_permit_member(peer const& which) const -> bool
 {
-    auto const issues_permits = which.last.version >= report_version;
+    auto const issues_permits = which.last.version >= previous_report_version;
     return issues_permits && (!is_zoned() || which.last.zone == own_zone_);
 }
 
--- a/test/fuzz/relay/peer_reports_survive_the_round_trip.cpp
+++ b/test/fuzz/relay/peer_reports_survive_the_round_trip.cpp
@@ -31,6 +31,10 @@
     report.limits = {
         {endpoint_id{"one"}, 1'000, 3, {1.6, std::nullopt}},
         {endpoint_id{"two"}, 2'000, 1, {std::nullopt, 4.0}}};
+    report.lost_services = {service_name{"plain"}};
+    report.cold = {{endpoint_id{"one"}, 1'000, std::chrono::seconds{2}}};
+    report.paces = {{endpoint_id{"two"}, 2'000, 55}};
+    report.waiting = {{service_name{"model"}, 2, 3, 9'000}};
     report.known_addresses = {{"10.0.0.2", zone_name{"y"}}};
     EXPECT_EQ(read_peer_report(write_peer_report(report)), report);
 }
