Relay: move the resumption of streams into a unit of its own

They are now in stream_resumption.hpp, which sees the stream through the interface resuming_stream. Behaviour is unchanged.

--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -5,13 +5,11 @@
 #ifndef SAPPHIREREEL_RELAY_STREAM_EXCHANGE_HPP
 #define SAPPHIREREEL_RELAY_STREAM_EXCHANGE_HPP
 
-#include "sapphirereel/relay/event_sequence.hpp"
 #include "sapphirereel/relay/event_splitter.hpp"
 #include "sapphirereel/relay/exchange.hpp"
 #include "sapphirereel/relay/forwarded_exchange.hpp"
-#include "sapphirereel/relay/run_backup.hpp"
-#include "sapphirereel/relay/run_migrator.hpp"
 #include "sapphirereel/relay/stream_load.hpp"
+#include "sapphirereel/relay/stream_resumption.hpp"
 
 namespace sapphirereel::relay {
 
@@ -35,15 +33,11 @@
 inline constexpr auto min_silence_of_stream =
     duration{std::chrono::milliseconds{2'000}};
 
-/// Longest time for which a run that is to resume at a replica waits until the
-/// replica's limit permits it.
-inline constexpr auto max_wait_for_resume_permit =
-    duration{std::chrono::milliseconds{1'000}};
-
 /// Serves one stream. Kept alive by the handlers of its pending operations.
 template <message_format Format>
 class stream_exchange final
     : public leaving_listener,
+      private resuming_stream,
       public std::enable_shared_from_this<stream_exchange<Format>>
 {
 public:
@@ -67,45 +61,10 @@
 
     auto replica_leaves(time_point now, double tokens_ahead) -> double override
     {
-        if (exchange_.finished || is_resuming_ || migrator_.is_active() ||
-            stopped_)
-        {
-            drained_while_resuming_ = is_resuming_;
-            return 0;
-        }
-        if (backup_.is_usable())
-        {
-            // The run resumes from its backup when the replica terminates it.
-            // That uses no bandwidth of the draining replica's link.
-            exchange_.state.log.request(
-                exchange_.request.id, "not migrated: has a backup",
-                {{"replica", target_.id}, {"copy_at", backup_.holder()->id}});
-            return 0;
-        }
-        auto const traits = exchange_.engine();
-        if (!traits || !traits->supports_migration)
-        {
-            return 0;
-        }
-        // Runs are migrated one after the other. If all were copied at once,
-        // the final part of each would queue behind the copies of the others.
-        migrator_.start(
-            this->weak_from_this(), target_, now,
-            migration_time(*traits, tokens_ahead));
-        return held_tokens();
+        return resumption_.replica_leaves(now, tokens_ahead);
     }
 
 private:
-    /// A run that a replica stopped and still holds.
-    struct kept_run
-    {
-        replica source;
-        /// Location of its memory, as in `continuation::memory`.
-        std::string memory;
-        /// When the source was found to leave.
-        time_point noticed_at;
-    };
-
     stream_exchange(
         relay_state& state,
         std::shared_ptr<caller_session> caller,
@@ -114,8 +73,7 @@
         : exchange_(
               state, std::move(caller), std::move(request), std::move(granted))
         , load_(state.replicas)
-        , backup_(state.replicas)
-        , migrator_(state, exchange_.request.id, migrator_callbacks())
+        , resumption_(exchange_, *this)
         , capacity_timer_(state.loop)
         , size_(exchange_.request.generation.value_or(generation_size{}))
         , expected_output_(relay::expected_output(
@@ -132,6 +90,7 @@
     auto begin() -> void
     {
         auto const self = this->shared_from_this();
+        resumption_.set_owner(self);
         exchange_.set_handlers(
             self, [self] { self->caller_disconnected(); },
             [weak = this->weak_from_this()](interruption why) {
@@ -153,9 +112,7 @@
             {}};
     }
 
-    /// The same, without the replicas that state limits: a run can't be resumed
-    /// there at any time.
-    [[nodiscard]] auto unlimited_need() const -> placement_need
+    [[nodiscard]] auto unlimited_need() const -> placement_need override
     {
         auto requirement = need();
         requirement.excluded.merge(
@@ -163,8 +120,7 @@
         return requirement;
     }
 
-    /// KV cache memory that the run holds, in tokens.
-    [[nodiscard]] auto held_tokens() const -> double
+    [[nodiscard]] auto held_tokens() const -> double override
     {
         return size_.prompt + output_tokens();
     }
@@ -255,7 +211,7 @@
         capacity_timer_.cancel();
         unregister_stream();
         load_.release();
-        backup_.release();
+        resumption_.release();
         forwarded_exchange<Format>::start(exchange_);
     }
 
@@ -317,18 +273,15 @@
         auto const memory = need().memory_tokens;
         splitter_ = {};
         head_.reset();
-        source_ended_ = false;
-        ended_between_events_ = false;
-        backup_.choose(
-            {unlimited_need(), target_, expected_output_}, exchange_.engine(),
-            now);
+        failure_body_.clear();
+        resumption_.begin_run(target_, expected_output_, now);
+        auto const& backup = resumption_.backup_holder();
         load_.place(
             target.id, {1, memory, resumed ? 0 : size_.prompt,
-                        backup_.holder() ? 0 : held_tokens()});
+                        backup ? 0 : held_tokens()});
         exchange_.state.work_placed();
         auto const backup_address =
-            backup_.holder() ? std::optional{host_and_port(*backup_.holder())}
-                             : std::nullopt;
+            backup ? std::optional{host_and_port(*backup)} : std::nullopt;
         auto const self = this->shared_from_this();
         call_ = exchange_.state.pool.start(
             to,
@@ -354,32 +307,34 @@
         return options;
     }
 
-    /// Resumes a run whose replica is lost from its backup; returns false if
-    /// that is not possible.
-    auto resume_from_backup(time_point now) -> bool
+    [[nodiscard]] auto source() const -> replica const& override
+    {
+        return target_;
+    }
+
+    [[nodiscard]] auto events() const -> event_sequence const& override
+    {
+        return events_;
+    }
+
+    auto end_call() -> void override
     {
-        auto const* const held = backup_.listed_holder();
-        auto const to = held ? address_of(*held) : std::nullopt;
-        if (!to || !events_.last_number())
+        // Kept until the handler that runs now has returned.
+        if (auto const ended = std::exchange(call_, nullptr))
         {
-            return false;
+            ended->cancel();
         }
-        auto const next = replica{*held};
-        exchange_.state.log.request(
-            exchange_.request.id, "resumes from its backup",
-            {{"replica", target_.id},
-             {"copy_at", next.id},
-             {"events", events_.count()},
-             {"silent", time_since_last_event(now)}});
-        exchange_.excluded.insert(target_.id);
-        migrator_.cancel();
-        stopped_.reset();
-        kept_at_source_.reset();
-        is_resuming_ = true;
-        resume_at(
-            next,
-            fmt::format("{}/{}", host_and_port(next), exchange_.request.id));
-        return true;
+    }
+
+    auto send_continuation(replica const& to, continuation const& resumed)
+        -> void override
+    {
+        send(to, *address_of(to), resumed);
+    }
+
+    auto run_lost(std::string_view why) -> void override
+    {
+        abort_stream(why);
     }
 
     auto register_stream() -> void
@@ -442,19 +397,14 @@
             fail_call("an event does not end");
             return;
         }
-        resume_if_stopped();
+        resumption_.resume_if_stopped();
     }
 
     /// Closes the connection to a replica that sends bytes without end, and
     /// treats the replica as lost.
     auto fail_call(std::string_view why) -> void
     {
-        // Kept until the handler that runs now has returned.
-        auto const ended = std::exchange(call_, nullptr);
-        if (ended)
-        {
-            ended->cancel();
-        }
+        end_call();
         source_failed({call_stage::answering, std::string{why}});
     }
 
@@ -484,7 +434,7 @@
             exchange_.state.metrics.observe(
                 relay_timing::pause, time_since_last_event(now));
         }
-        record_resumption(now);
+        resumption_.record_event(now);
         events_.record_forwarded(event.number, now - exchange_.started_at);
         exchange_.state.metrics.add(relay_counter::stream_events);
         load_.update(
@@ -515,30 +465,6 @@
         return now - exchange_.started_at - events_.time_to_last();
     }
 
-    /// Records the pause before the first event from the replica that resumed
-    /// the run.
-    auto record_resumption(time_point now) -> void
-    {
-        if (!std::exchange(is_resuming_, false))
-        {
-            return;
-        }
-        kept_at_source_.reset();
-        exchange_.state.metrics.add(relay_counter::streams_moved);
-        exchange_.state.metrics.observe(
-            relay_timing::move_pause, time_since_last_event(now));
-        exchange_.state.log.request(
-            exchange_.request.id, "resumed on another replica",
-            {{"replica", target_.id},
-             {"pause", time_since_last_event(now)},
-             {"events", events_.count()}});
-        if (drained_while_resuming_)
-        {
-            drained_while_resuming_ = false;
-            replica_leaves(now, 0);
-        }
-    }
-
     /// Pauses reading from the replica until the caller has received the
     /// buffered bytes.
     auto apply_backpressure() -> void
@@ -570,15 +496,13 @@
             return;
         }
         auto const is_unframed = head_->ends_with_connection;
-        if (is_unframed && (migrator_.is_stopping() || stopped_))
+        if (is_unframed &&
+            resumption_.take_source_end(!splitter_.has_partial()))
         {
-            // A replica that stops a run ends its connection in the same way.
-            source_ended_ = true;
-            ended_between_events_ = !splitter_.has_partial();
-            resume_if_stopped();
             return;
         }
-        auto const has_events = events_.has_begun() && !is_resuming_;
+        auto const has_events =
+            events_.has_begun() && !resumption_.is_resuming();
         if (splitter_.has_partial() || (is_unframed && !has_events))
         {
             source_failed(
@@ -591,7 +515,7 @@
         complete(now);
     }
 
-    auto complete(time_point now) -> void
+    auto complete(time_point now) -> void override
     {
         exchange_.state.replicas.succeeded(target_.id);
         exchange_.record_answer(now);
@@ -632,9 +556,9 @@
 
     auto retry_not_run(time_point now) -> void
     {
-        if (is_resuming_)
+        if (resumption_.is_resuming())
         {
-            resume_failed();
+            resumption_.resume_failed();
             return;
         }
         --exchange_.runs;
@@ -655,10 +579,8 @@
             return;
         }
         auto const now = telemetry::monotonic_now();
-        if (migrator_.is_stopping() || stopped_)
+        if (resumption_.take_source_end(false))
         {
-            source_ended_ = true;
-            resume_if_stopped();
             return;
         }
         exchange_.state.replicas.failed(target_.id, now);
@@ -673,9 +595,9 @@
         if (why.stage == call_stage::connecting)
         {
             exchange_.state.metrics.add(relay_counter::connections_failed);
-            if (is_resuming_)
+            if (resumption_.is_resuming())
             {
-                resume_failed();
+                resumption_.resume_failed();
                 return;
             }
             --exchange_.sends;
@@ -683,144 +605,10 @@
             retry_not_run(now);
             return;
         }
-        if (!resume_from_backup(now))
-        {
-            abort_stream(why.detail);
-        }
-    }
-
-    // Migration to another replica.
-
-    auto migrator_callbacks() -> typename run_migrator<Format>::callbacks
-    {
-        return {
-            [this] { return choose_destination(); },
-            [this](stopped_run const& run) {
-                stopped_ = run;
-                resume_if_stopped();
-            },
-            [this](migration_failure how) { migration_failed(how); },
-            [this](replica const& which) {
-                exchange_.excluded.insert(which.id);
-            }};
-    }
-
-    auto choose_destination() -> std::optional<migration_destination>
-    {
-        exchange_.excluded.insert(target_.id);
-        auto requirement = unlimited_need();
-        requirement.memory_zone = target_.zone;
-        auto const chosen = exchange_.state.replicas.choose(
-            requirement, exchange_.engine(), telemetry::monotonic_now());
-        if (!chosen || !address_of(chosen->target))
-        {
-            return std::nullopt;
-        }
-        return migration_destination{chosen->target, requirement.memory_tokens};
-    }
-
-    auto migration_failed(migration_failure how) -> void
-    {
-        if (how == migration_failure::while_running || !source_ended_)
-        {
-            return;
-        }
-        auto const now = telemetry::monotonic_now();
-        if (how == migration_failure::run_ended && ended_between_events_)
-        {
-            complete(now);
-            return;
-        }
-        if (!resume_from_backup(now))
-        {
-            abort_stream("the run was not stopped in good order");
-        }
-    }
-
-    /// Resumes a stopped run elsewhere once all its events have been received
-    /// or its stream has ended.
-    auto resume_if_stopped() -> void
-    {
-        if (!stopped_)
-        {
-            return;
-        }
-        auto const has_all_events =
-            events_.last_number() >= stopped_->events_made;
-        if (!source_ended_ && !has_all_events)
+        if (!resumption_.resume_from_backup(now))
         {
-            return;
-        }
-        if (auto const ended = std::exchange(call_, nullptr))
-        {
-            ended->cancel();
-        }
-        auto const run = *std::exchange(stopped_, std::nullopt);
-        is_resuming_ = true;
-        auto const memory =
-            fmt::format("{}/{}", host_and_port(target_), run.handle);
-        if (run.next.id != target_.id)
-        {
-            kept_at_source_ = kept_run{target_, memory, run.noticed_at};
-        }
-        resume_at(run.next, memory);
-    }
-
-    /// Sends the continuation once the replica's limit permits it.
-    auto resume_at(replica const& next, std::string const& memory) -> void
-    {
-        resume_at(next, memory, telemetry::monotonic_now());
-    }
-
-    auto resume_at(
-        replica const& next, std::string const& memory, time_point since)
-        -> void
-    {
-        auto const now = telemetry::monotonic_now();
-        auto const permitted =
-            exchange_.state.gate.take(next.id, permit_use::running, now);
-        if (permitted == permission::granted)
-        {
-            send(
-                next, *address_of(next),
-                continuation{memory, events_.last_number().value_or(0)});
-            return;
-        }
-        if (now - since >= max_wait_for_resume_permit)
-        {
-            resume_failed();
-            return;
-        }
-        capacity_timer_.expires_after(open_replica_poll_interval);
-        capacity_timer_.async_wait([self = this->shared_from_this(), next,
-                                    memory, since](std::error_code error) {
-            if (!error && !self->exchange_.finished)
-            {
-                self->resume_at(next, memory, since);
-            }
-        });
-    }
-
-    /// Resumes a run that its destination has not taken at the source that
-    /// stopped it, while that still accepts requests.
-    auto resume_failed() -> void
-    {
-        auto const now = telemetry::monotonic_now();
-        auto const kept = std::exchange(kept_at_source_, std::nullopt);
-        if (kept && may_return_to_source(
-                        now - kept->noticed_at, exchange_.state.drain_limit))
-        {
-            exchange_.state.log.request(
-                exchange_.request.id, "resumes at its source",
-                {{"replica", target_.id}, {"source", kept->source.id}});
-            failure_body_.clear();
-            exchange_.excluded.insert(target_.id);
-            // The source still leaves, so that the run migrates again.
-            drained_while_resuming_ = true;
-            resume_at(kept->source, kept->memory);
-            return;
+            run_lost(why.detail);
         }
-        abort_stream("the run was not taken where it moved to");
     }
 
     // Completion and failure.
@@ -830,10 +618,9 @@
         exchange_.finished = true;
         exchange_.deadline_timer.cancel();
         capacity_timer_.cancel();
-        migrator_.cancel();
+        resumption_.release();
         unregister_stream();
         load_.release();
-        backup_.release();
         exchange_.state.load_changed();
         if (call_)
         {
@@ -886,7 +673,7 @@
             exchange_.request.id, "stream lost",
             {{"replica", target_.id},
              {"why", std::string{why}},
-             {"continuing", is_resuming_},
+             {"continuing", resumption_.is_resuming()},
              {"events", events_.count()},
              {"after", now - exchange_.started_at}});
         exchange_.caller->abort();
@@ -961,9 +748,8 @@
 
     exchange exchange_;
     stream_load load_;
-    run_backup backup_;
     event_sequence events_;
-    run_migrator<Format> migrator_;
+    stream_resumption<Format> resumption_;
     asio::steady_timer capacity_timer_;
     generation_size size_;
     double expected_output_;
@@ -977,20 +763,9 @@
     time_point sent_at_{};
     /// Prompt tokens that the replica had to process before the first event.
     double tokens_ahead_ = 0;
-    /// Set while the last events of a stopped run are awaited.
-    std::optional<stopped_run> stopped_;
-    /// The stopped run at its source, until another replica has resumed it.
-    std::optional<kept_run> kept_at_source_;
-    /// Whether the run was sent to another replica and has produced no event
-    /// there yet.
-    bool is_resuming_ = false;
     bool is_success_ = false;
     bool is_signed_ = false;
     bool not_run_ = false;
-    bool source_ended_ = false;
-    /// Whether a stream without framing ended where it may be complete.
-    bool ended_between_events_ = false;
-    bool drained_while_resuming_ = false;
     bool is_complete_ = false;
 };
 
