Relay: streams of resumable routes continue after a position

Callers that reconnected with Last-Event-Id after a broken stream got it again from the first event, as the field was dropped.

A route with stream-resume accepts the field, passes it to the replica and drops events up to it; 400 if it can't be read. A stream whose replica is lost, or answers 5xx before the first event, is sent again after the last whole event, within the deadline, max-attempts and the retry budget; a copy of the run is still preferred. A missing event aborts the stream. Streams that a peer serves carry the position, also to a second peer. Routes without the flag are served as before.

The test fixtures' configurations get a route /resumable/.

--- a/packages/relay/include/sapphirereel/relay/event_sequence.hpp
+++ b/packages/relay/include/sapphirereel/relay/event_sequence.hpp
@@ -29,6 +29,28 @@
 class event_sequence
 {
 public:
+    /// `position` is the number of the last event that the caller has received
+    /// before, if it has.
+    explicit event_sequence(
+        std::optional<std::uint64_t> position = std::nullopt);
+
+    /// Records that a run was sent that continues after the last event, or at
+    /// the beginning if there is none.
+    auto begin_run() -> void;
+
+    /// Whether the present run has forwarded an event.
+    [[nodiscard]] auto has_run_begun() const -> bool
+    {
+        return has_run_begun_;
+    }
+
+    /// Whether the next event must have a number: the run's replica may have
+    /// ignored the position after which the run continues.
+    [[nodiscard]] auto awaits_number() const -> bool
+    {
+        return first_allowed_after_ && !has_run_begun_;
+    }
+
     /// Compares an event with those forwarded before. An event without a number
     /// can't be checked and counts as the next one.
     [[nodiscard]] auto classify(std::optional<std::uint64_t> number) const
@@ -49,7 +71,7 @@
         return count_;
     }
 
-    /// Number of the last event, if it had one.
+    /// Number of the last event, if it had one; the position before the first.
     [[nodiscard]] auto last_number() const -> std::optional<std::uint64_t>
     {
         return last_number_;
@@ -75,6 +97,10 @@
 private:
     std::uint64_t count_ = 0;
     std::optional<std::uint64_t> last_number_;
+    /// The position after which the present run continues. No event up to it is
+    /// forwarded, also after events without numbers.
+    std::optional<std::uint64_t> first_allowed_after_;
+    bool has_run_begun_ = false;
     duration time_to_first_{0};
     duration time_to_last_{0};
     duration longest_pause_{0};
--- a/packages/relay/include/sapphirereel/relay/exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/exchange.hpp
@@ -209,6 +209,9 @@
     /// Whether an attempt failed to connect.
     bool has_failed_to_connect = false;
     time_point started_at;
+    /// Since when the caller waits for its next event: the request's arrival,
+    /// or the loss of the replica that ran a stream that had begun.
+    time_point waiting_since;
     asio::steady_timer deadline_timer;
     bool finished = false;
 
--- a/packages/relay/include/sapphirereel/relay/forwarded_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/forwarded_exchange.hpp
@@ -6,6 +6,7 @@
 
 #include "sapphirereel/relay/exchange.hpp"
 #include "sapphirereel/relay/forward_target.hpp"
+#include "sapphirereel/relay/stream_position.hpp"
 
 namespace sapphirereel::relay {
 
@@ -19,6 +20,9 @@
 /// Bytes buffered for a slow caller above which reading from the peer pauses.
 inline constexpr auto max_unsent_forwarded_bytes = std::size_t{262'144};
 
+/// Most bytes of events that a peer may repeat.
+inline constexpr auto max_repeated_bytes = std::size_t{1} << 20U;
+
 /// Serves one request through a peer. Kept alive by the handlers of its pending
 /// operations.
 template <message_format Format>
@@ -39,6 +43,7 @@
 private:
     explicit forwarded_exchange(exchange const& from)
         : exchange_(from.state, from.caller, from.request, from.granted)
+        , events_(exchange_.request.last_event)
     {
         exchange_.service = from.service;
         // The peer counts the request.
@@ -61,8 +66,13 @@
 
     [[nodiscard]] auto may_run_again() const -> bool
     {
+        auto const& route = *exchange_.granted.route;
         return !exchange_.may_have_run() ||
-               exchange_.granted.route->kind == request_kind::idempotent;
+               route.kind == request_kind::idempotent ||
+               next_position({route.may_resume, exchange_.runs,
+                              route.max_attempts, events_.has_begun(),
+                              events_.last_number()})
+                   .has_value();
     }
 
     auto attempt() -> void
@@ -113,6 +123,13 @@
              {"left", left}});
         head_.reset();
         body_.clear();
+        if (may_resume())
+        {
+            splitter_ = {};
+            repeated_bytes_ = 0;
+            events_.begin_run();
+            exchange_.request.last_event = events_.last_number();
+        }
         ++exchange_.sends;
         ++exchange_.runs;
         auto options = call_options{};
@@ -156,6 +173,11 @@
         {
             return;
         }
+        if (is_stream() && may_resume())
+        {
+            receive_events(body);
+            return;
+        }
         if (!is_stream())
         {
             body_ += body;
@@ -167,15 +189,88 @@
             }
             return;
         }
+        pass_on(body);
+        apply_backpressure();
+    }
+
+    auto pass_on(std::string_view bytes) -> void
+    {
         if (!std::exchange(has_begun_, true))
         {
             exchange_.caller->begin_stream(
                 head_->status, head_->reason, Format::response_fields(*head_));
         }
-        exchange_.caller->stream(body);
+        exchange_.caller->stream(bytes);
+    }
+
+    [[nodiscard]] auto may_resume() const -> bool
+    {
+        return exchange_.granted.route->may_resume;
+    }
+
+    /// Passes the whole events of a resumable stream on, so that it can
+    /// continue after the last one at another peer.
+    auto receive_events(std::string const& body) -> void
+    {
+        for (auto const& event : splitter_.feed(body))
+        {
+            if (!receive_event(event))
+            {
+                return;
+            }
+        }
+        if (splitter_.is_too_long())
+        {
+            cancel_call();
+            attempt_failed({call_stage::answering, "an event does not end"});
+            return;
+        }
         apply_backpressure();
     }
 
+    /// Returns false if the stream was aborted.
+    auto receive_event(raw_event const& event) -> bool
+    {
+        switch (action_for(events_, event, true))
+        {
+        case block_action::forward:
+            pass_on(event.bytes);
+            events_.record_forwarded(
+                event.number,
+                telemetry::monotonic_now() - exchange_.started_at);
+            return true;
+        case block_action::pass_on:
+            pass_on(event.bytes);
+            return true;
+        case block_action::drop:
+            repeated_bytes_ += event.bytes.size();
+            return repeated_bytes_ <= max_repeated_bytes ||
+                   abort_at_event("the peer repeats events without end");
+        case block_action::abort_after_gap:
+            return abort_at_event("an event is missing");
+        case block_action::abort_unnumbered:
+            return abort_at_event("an event after a position has no number");
+        }
+        return true;
+    }
+
+    /// Returns false, as the stream does not go on.
+    auto abort_at_event(std::string_view why) -> bool
+    {
+        cancel_call();
+        end_attempt();
+        give_up(refusal_reason::no_replica, 502, why);
+        return false;
+    }
+
+    auto cancel_call() -> void
+    {
+        if (call_)
+        {
+            call_->cancel();
+        }
+    }
+
     auto apply_backpressure() -> void
     {
         auto const is_slow =
@@ -201,8 +296,9 @@
             return;
         }
         auto const answer = Format::read_response(*head_);
-        auto const is_peers_refusal =
-            head_->status == 503 && !answer.is_signed && !has_begun_;
+        auto const is_peers_refusal = head_->status == 503 &&
+                                      !answer.is_signed &&
+                                      (!has_begun_ || may_resume());
         if (is_peers_refusal && tried_.size() < max_forwards)
         {
             exchange_.state.log.request(
@@ -213,9 +309,24 @@
             attempt();
             return;
         }
+        if (is_cut_off())
+        {
+            attempt_failed(
+                {call_stage::answering,
+                 "the peer did not complete the stream"});
+            return;
+        }
         finish();
     }
 
+    /// Whether a response to a resumable stream that was read whole does not
+    /// complete the stream.
+    [[nodiscard]] auto is_cut_off() const -> bool
+    {
+        return may_resume() &&
+               ((has_begun_ && !is_stream()) || splitter_.has_partial());
+    }
+
     auto finish() -> void
     {
         exchange_.finished = true;
@@ -260,7 +371,7 @@
             --exchange_.runs;
             --exchange_.sends;
         }
-        if (has_begun_ || !may_run_again())
+        if ((has_begun_ && !may_resume()) || !may_run_again())
         {
             give_up(refusal_reason::no_replica, 502, why.detail);
             return;
@@ -343,6 +454,11 @@
     bool is_counted_ = false;
     std::optional<http::response_head> head_;
     std::string body_;
+    /// The events of a resumable stream.
+    event_splitter splitter_;
+    event_sequence events_;
+    /// Bytes of events that the caller had received already.
+    std::size_t repeated_bytes_ = 0;
     /// Whether a part of the response was passed on.
     bool has_begun_ = false;
     /// The last refusal of a peer.
--- a/packages/relay/include/sapphirereel/relay/message_format.hpp
+++ b/packages/relay/include/sapphirereel/relay/message_format.hpp
@@ -40,6 +40,9 @@
     /// Address of the replica to which the run's KV cache is copied as it
     /// grows.
     std::optional<std::string> backup;
+    /// Number of the event after which the stream begins, if it is not resumed
+    /// from a copy.
+    std::optional<std::uint64_t> last_event = std::nullopt;
     auto operator<=>(replica_call const&) const = default;
 };
 
--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -303,6 +303,11 @@
             send_refusal(*from, granted.error(), read->id, state_);
             return;
         }
+        if (auto const invalid = check_position(*granted->route, *read))
+        {
+            refuse_position(*from, read->id, *invalid);
+            return;
+        }
         granted->is_forwarded = is_forwarded;
         auto const now = telemetry::monotonic_now();
         state_.parts.record_request(read->prompt_parts, now);
@@ -341,6 +346,20 @@
             state_, std::move(from), std::move(*read), std::move(*granted));
     }
 
+    /// Refuses a request whose position can't be read.
+    auto refuse_position(
+        caller_session& from,
+        std::string const& id,
+        http::request_error const& error) -> void
+    {
+        state_.metrics.add(relay_counter::positions_refused);
+        state_.log.request(
+            id, "refused, not executed",
+            {{"status", error.status}, {"reason", error.detail}});
+        from.respond(
+            error.status, {{"Content-Type", "text/plain"}}, error.detail);
+    }
+
     [[nodiscard]] auto crashes_replicas(
         caller_request const& request, grant const& terms) const -> bool
     {
--- a/packages/relay/include/sapphirereel/relay/request_admission.hpp
+++ b/packages/relay/include/sapphirereel/relay/request_admission.hpp
@@ -43,6 +43,12 @@
     /// Header fields to forward unchanged.
     http::field_list forwarded;
     std::string body;
+    /// Number of the last event that the caller has received of the stream that
+    /// it resumes.
+    std::optional<std::uint64_t> last_event = std::nullopt;
+    /// What is wrong with the position that the caller sent, if it can't be
+    /// read.
+    std::optional<std::string> position_error = std::nullopt;
     auto operator<=>(caller_request const&) const = default;
 };
 
--- a/packages/relay/include/sapphirereel/relay/routing.hpp
+++ b/packages/relay/include/sapphirereel/relay/routing.hpp
@@ -25,7 +25,8 @@
     idempotent,
     /// May run at most once.
     at_most_once,
-    /// Answered by a stream of events; may run at most once.
+    /// Answered by a stream of events; may run at most once unless its route
+    /// permits resumption.
     stream
 };
 
@@ -60,6 +61,9 @@
     std::uint32_t max_attempts = 1;
     /// Whether requests are admitted without a key.
     bool needs_no_key = false;
+    /// Whether streams may run more than once, so that they continue after a
+    /// position on any replica.
+    bool may_resume = false;
     auto operator<=>(route const&) const = default;
 };
 
--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -1,7 +1,7 @@
 /// \file
 /// Defines the exchange of a stream: complete events are forwarded as they
 /// arrive, and the run resumes on another replica when its replica drains or is
-/// lost.
+/// lost. Where its route permits that, it is sent again from the last event.
 #ifndef SAPPHIREREEL_RELAY_STREAM_EXCHANGE_HPP
 #define SAPPHIREREEL_RELAY_STREAM_EXCHANGE_HPP
 
@@ -9,6 +9,7 @@
 #include "sapphirereel/relay/exchange.hpp"
 #include "sapphirereel/relay/forwarded_exchange.hpp"
 #include "sapphirereel/relay/stream_load.hpp"
+#include "sapphirereel/relay/stream_position.hpp"
 #include "sapphirereel/relay/stream_resumption.hpp"
 
 namespace sapphirereel::relay {
@@ -73,6 +74,7 @@
         : exchange_(
               state, std::move(caller), std::move(request), std::move(granted))
         , load_(state.replicas)
+        , events_(exchange_.request.last_event)
         , resumption_(exchange_, *this)
         , capacity_timer_(state.loop)
         , size_(exchange_.request.generation.value_or(generation_size{}))
@@ -99,9 +101,28 @@
                     held->interrupted(why);
                 }
             });
+        record_position();
         attempt();
     }
 
+    [[nodiscard]] auto may_resume() const -> bool
+    {
+        return exchange_.granted.route->may_resume;
+    }
+
+    /// Records that the caller resumes a stream.
+    auto record_position() -> void
+    {
+        if (!exchange_.request.last_event)
+        {
+            return;
+        }
+        exchange_.state.metrics.add(relay_counter::positions_received);
+        exchange_.state.log.request(
+            exchange_.request.id, "the caller resumes a stream",
+            {{"last_event", *exchange_.request.last_event}});
+    }
+
     [[nodiscard]] auto need() const -> placement_need
     {
         return {
@@ -128,15 +149,17 @@
     [[nodiscard]] auto output_tokens() const -> double
     {
         auto const traits = exchange_.engine();
-        return static_cast<double>(events_.count()) *
-               (traits ? traits->tokens_per_event : 1);
+        auto const per_event = traits ? traits->tokens_per_event : 1;
+        return preceding_tokens(exchange_.request, per_event) +
+               static_cast<double>(events_.count()) * per_event;
     }
 
     auto attempt() -> void
     {
         if (exchange_.is_poisoned())
         {
-            interrupted(interruption::poison);
+            auto const outcome = outcome_of(interruption::poison);
+            give_up(outcome.refusal, outcome.status, outcome.detail);
             return;
         }
         auto const now = telemetry::monotonic_now();
@@ -152,7 +175,7 @@
         }
         auto const chosen = exchange_.choose(need(), exchange_.engine(), now);
         auto const to = chosen ? address_of(chosen->target) : std::nullopt;
-        auto const waited = now - exchange_.started_at;
+        auto const waited = now - exchange_.waiting_since;
         if (!to)
         {
             // New connections may fail although older ones still carry
@@ -256,7 +279,7 @@
              {"expected_start", estimate.expected_start},
              {"waited", estimate.waited},
              {"left",
-              exchange_.remaining(exchange_.started_at + estimate.waited)}});
+              exchange_.remaining(exchange_.waiting_since + estimate.waited)}});
     }
 
     /// Sends the request, or its continuation, to a replica.
@@ -274,6 +297,11 @@
         splitter_ = {};
         head_.reset();
         failure_body_.clear();
+        auto const position = resumed ? std::nullopt : events_.last_number();
+        if (may_resume())
+        {
+            events_.begin_run();
+        }
         resumption_.begin_run(target_, expected_output_, now);
         auto const& backup = resumption_.backup_holder();
         load_.place(
@@ -286,9 +314,10 @@
         call_ = exchange_.state.pool.start(
             to,
             Format::write_call(
-                exchange_.request, {target.id, exchange_.remaining(now),
-                                    exchange_.granted.customer,
-                                    std::move(resumed), backup_address}),
+                exchange_.request,
+                {target.id, exchange_.remaining(now),
+                 exchange_.granted.customer, std::move(resumed), backup_address,
+                 position}),
             stream_call_options(),
             {[self](http::response_head const& head) {
                  self->handle_head(head);
@@ -319,7 +348,6 @@
 
     auto end_call() -> void override
     {
-        // Kept until the handler that runs now has returned.
         if (auto const ended = std::exchange(call_, nullptr))
         {
             ended->cancel();
@@ -334,7 +362,46 @@
 
     auto run_lost(std::string_view why) -> void override
     {
-        abort_stream(why);
+        if (!send_again(why))
+        {
+            abort_stream(why);
+        }
+    }
+
+    /// Sends the request again, to continue after the last event, where its
+    /// route permits that; returns false if it does not.
+    auto send_again(std::string_view why) -> bool
+    {
+        auto const position = next_position(
+            {may_resume(), exchange_.runs,
+             exchange_.granted.route->max_attempts, events_.has_begun(),
+             events_.last_number()});
+        if (!position)
+        {
+            return false;
+        }
+        exchange_.state.log.request(
+            exchange_.request.id, "sent again",
+            {{"replica", target_.id},
+             {"why", std::string{why}},
+             {"last_event", position->value_or(0)},
+             {"events", events_.count()},
+             {"runs", exchange_.runs}});
+        exchange_.state.metrics.add(relay_counter::streams_sent_again);
+        end_call();
+        resumption_.reset();
+        unregister_stream();
+        load_.release();
+        exchange_.state.load_changed();
+        exchange_.excluded.insert(target_.id);
+        stray_bytes_ = 0;
+        is_sent_again_ = events_.has_begun();
+        if (is_sent_again_)
+        {
+            exchange_.waiting_since = telemetry::monotonic_now();
+        }
+        attempt();
+        return true;
     }
 
     auto register_stream() -> void
@@ -404,28 +471,42 @@
     /// treats the replica as lost.
     auto fail_call(std::string_view why) -> void
     {
+        // Kept until the handler that runs now has returned.
+        auto const ended = call_;
         end_call();
         source_failed({call_stage::answering, std::string{why}});
     }
 
     auto forward(raw_event const& event, time_point now) -> void
     {
-        auto const place = events_.classify(event.number);
-        if (place == event_order::duplicate)
+        switch (action_for(events_, event, may_resume()))
         {
+        case block_action::forward:
+            forward_event(event, now);
+            return;
+        case block_action::pass_on:
+            exchange_.caller->stream(event.bytes);
+            apply_backpressure();
+            return;
+        case block_action::drop:
             stray_bytes_ += event.bytes.size();
             if (stray_bytes_ > max_stray_bytes)
             {
                 abort_stream("the replica repeats events without end");
             }
             return;
-        }
-        if (place == event_order::after_gap)
-        {
+        case block_action::abort_after_gap:
             abort_stream("an event is missing");
             return;
+        case block_action::abort_unnumbered:
+            abort_stream("an event after a position has no number");
+            return;
         }
-        if (place == event_order::first)
+    }
+
+    auto forward_event(raw_event const& event, time_point now) -> void
+    {
+        if (!events_.has_begun())
         {
             begin_response(now);
         }
@@ -434,6 +515,7 @@
             exchange_.state.metrics.observe(
                 relay_timing::pause, time_since_last_event(now));
         }
+        record_continuation(now);
         resumption_.record_event(now);
         events_.record_forwarded(event.number, now - exchange_.started_at);
         exchange_.state.metrics.add(relay_counter::stream_events);
@@ -453,8 +535,33 @@
             head_->status, head_->reason, Format::response_fields(*head_));
         exchange_.state.metrics.observe(
             relay_timing::first_event, now - exchange_.started_at);
-        exchange_.state.prefill_pace_of(exchange_.service)
-            .add_sample(tokens_ahead_, now - sent_at_);
+        // Events that were sent again took time besides the prompt.
+        if (stray_bytes_ == 0)
+        {
+            exchange_.state.prefill_pace_of(exchange_.service)
+                .add_sample(tokens_ahead_, now - sent_at_);
+        }
+        load_.prefill_completed();
+        exchange_.state.load_changed();
+    }
+
+    /// Records the first event of a run that continues after the last event of
+    /// a lost one.
+    auto record_continuation(time_point now) -> void
+    {
+        if (!std::exchange(is_sent_again_, false))
+        {
+            return;
+        }
+        exchange_.record_output(now);
+        exchange_.state.metrics.add(relay_counter::streams_resumed);
+        exchange_.state.metrics.observe(
+            relay_timing::move_pause, time_since_last_event(now));
+        exchange_.state.log.request(
+            exchange_.request.id, "continues on another replica",
+            {{"replica", target_.id},
+             {"pause", time_since_last_event(now)},
+             {"events", events_.count()}});
         load_.prefill_completed();
         exchange_.state.load_changed();
     }
@@ -502,7 +609,7 @@
             return;
         }
         auto const has_events =
-            events_.has_begun() && !resumption_.is_resuming();
+            events_.has_run_begun() && !resumption_.is_resuming();
         if (splitter_.has_partial() || (is_unframed && !has_events))
         {
             source_failed(
@@ -535,12 +642,22 @@
             retry_not_run(now);
             return;
         }
+        auto const is_replica_failure = is_signed_ && head_->status >= 300;
+        auto const is_final = is_replica_failure && head_->status < 500 &&
+                              !resumption_.is_resuming();
+        if (is_replica_failure && !is_final && !events_.has_begun())
+        {
+            fallback_ = http::response{*head_, failure_body_};
+        }
+        if (!is_final && send_again("the answer is no stream"))
+        {
+            return;
+        }
         if (events_.has_begun())
         {
             abort_stream("the run was not continued");
             return;
         }
-        auto const is_replica_failure = is_signed_ && head_->status >= 300;
         if (!is_replica_failure)
         {
             give_up(
@@ -548,10 +665,17 @@
                 "the answer is not the replica's answer to this request");
             return;
         }
+        respond({*head_, failure_body_}, now);
+    }
+
+    /// Passes a replica's failure on.
+    auto respond(http::response const& failure, time_point now) -> void
+    {
         end(now);
         exchange_.state.metrics.add(relay_counter::answers);
         exchange_.caller->respond(
-            head_->status, Format::response_fields(*head_), failure_body_);
+            failure.head.status, Format::response_fields(failure.head),
+            failure.body);
     }
 
     auto retry_not_run(time_point now) -> void
@@ -585,7 +709,10 @@
         }
         exchange_.state.replicas.failed(target_.id, now);
         exchange_.record_path_failure(target_.id, now);
-        exchange_.attribute_crash(target_, why, events_.has_begun(), now);
+        auto const has_output =
+            events_.has_begun() &&
+            (events_.has_run_begun() || resumption_.is_resuming());
+        exchange_.attribute_crash(target_, why, has_output, now);
         exchange_.state.log.request(
             exchange_.request.id, "replica lost",
             {{"replica", target_.id},
@@ -673,16 +800,28 @@
             exchange_.request.id, "stream lost",
             {{"replica", target_.id},
              {"why", std::string{why}},
-             {"continuing", resumption_.is_resuming()},
+             {"continuing", resumption_.is_resuming() || is_sent_again_},
              {"events", events_.count()},
              {"after", now - exchange_.started_at}});
         exchange_.caller->abort();
     }
 
-    /// Ends a request for which the caller has received nothing.
+    /// Ends a request that no replica completes: with the last failure that a
+    /// replica answered, else with an error, if the caller has received
+    /// nothing.
     auto give_up(refusal_reason why, int status, std::string_view detail)
         -> void
     {
+        if (events_.has_begun())
+        {
+            abort_stream(detail);
+            return;
+        }
+        if (fallback_)
+        {
+            respond(*fallback_, telemetry::monotonic_now());
+            return;
+        }
         auto const may_have_run = exchange_.may_have_run();
         end(telemetry::monotonic_now());
         exchange_.finished = false;
@@ -758,11 +897,16 @@
     std::optional<http::response_head> head_;
     event_splitter splitter_;
     std::string failure_body_;
+    /// A replica's failure of a request that was sent again.
+    std::optional<http::response> fallback_;
     /// Bytes of events that the caller had received already.
     std::size_t stray_bytes_ = 0;
     time_point sent_at_{};
     /// Prompt tokens that the replica had to process before the first event.
     double tokens_ahead_ = 0;
+    /// Whether the run was sent to continue after the last event, without a
+    /// copy, and has produced no event yet.
+    bool is_sent_again_ = false;
     bool is_success_ = false;
     bool is_signed_ = false;
     bool not_run_ = false;
--- a/packages/relay/include/sapphirereel/relay/stream_resumption.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_resumption.hpp
@@ -201,7 +201,8 @@
     {
         auto const* const held = backup_.listed_holder();
         auto const to = held ? address_of(*held) : std::nullopt;
-        if (!to || !stream_.events().last_number())
+        auto const& events = stream_.events();
+        if (!to || !events.has_begun() || !events.last_number())
         {
             return false;
         }
@@ -210,7 +211,7 @@
             exchange_.request.id, "resumes from its backup",
             {{"replica", stream_.source().id},
              {"copy_at", next.id},
-             {"events", stream_.events().count()},
+             {"events", events.count()},
              {"silent", time_since_last_event(now)}});
         exchange_.excluded.insert(stream_.source().id);
         migrator_.cancel();
@@ -245,6 +246,16 @@
         stream_.run_lost("the run was not taken where it moved to");
     }
 
+    /// Forgets a run that is sent again.
+    auto reset() -> void
+    {
+        release();
+        stopped_.reset();
+        kept_at_source_.reset();
+        is_resuming_ = false;
+        drained_while_resuming_ = false;
+    }
+
     /// Ends what is pending and releases the backup.
     auto release() -> void
     {
--- a/packages/relay/src/event_sequence.cpp
+++ b/packages/relay/src/event_sequence.cpp
@@ -4,10 +4,22 @@
 
 namespace sapphirereel::relay {
 
+event_sequence::event_sequence(std::optional<std::uint64_t> position)
+    : last_number_(position)
+    , first_allowed_after_(position)
+{}
+
+auto event_sequence::begin_run() -> void
+{
+    first_allowed_after_ = std::max(first_allowed_after_, last_number_);
+    has_run_begun_ = false;
+}
+
 auto event_sequence::classify(std::optional<std::uint64_t> number) const
     -> event_order
 {
-    if (number && last_number_ && *number <= *last_number_)
+    // Empty values compare as lower than any number.
+    if (number && number <= std::max(last_number_, first_allowed_after_))
     {
         return event_order::duplicate;
     }
@@ -32,6 +44,7 @@
     }
     time_to_last_ = since_request;
     last_number_ = number;
+    has_run_begun_ = true;
     ++count_;
 }
 
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -13,6 +13,7 @@
     , granted(std::move(admission))
     , service(pick_service())
     , started_at(telemetry::monotonic_now())
+    , waiting_since(started_at)
     , deadline_timer(shared.loop)
     , open_exchanges_(shared.open_exchanges)
 {
@@ -276,7 +277,7 @@
 {
     auto const limit =
         granted.route->target_latency * max_wait_for_open_replica_share;
-    return closed_.may_open_soon && now - started_at < limit;
+    return closed_.may_open_soon && now - waiting_since < limit;
 }
 
 auto exchange::refuse_if_none_takes_it(time_point now) -> bool
--- a/test/support/relay/relay_fixture.hpp
+++ b/test/support/relay/relay_fixture.hpp
@@ -235,8 +235,9 @@
                 service, process_loopback_ip(), port, state));
     }
 
-    /// Writes a configuration to the log: routes /safe/, /once/ and /stream/,
-    /// the first two to the service `plain`, the last to `engine`.
+    /// Writes a configuration to the log: routes /safe/, /once/, /stream/ and
+    /// /resumable/, the first two to the service `plain`, the others to
+    /// `engine`.
     auto configure(int version, std::string const& extra = {}) -> void
     {
         log.write(
@@ -251,7 +252,11 @@
                 R"("target-latency-ms":150}},)"
                 R"({{"name":"stream","host":"h","path-prefix":"/stream/",)"
                 R"("kind":"streaming","service":"engine",)"
-                R"("timeout-ms":5000}}],)"
+                R"("timeout-ms":5000}},)"
+                R"({{"name":"resumable","host":"h",)"
+                R"("path-prefix":"/resumable/","kind":"streaming",)"
+                R"("service":"engine","timeout-ms":5000,"max-attempts":3,)"
+                R"("stream-resume":true}}],)"
                 R"("services":[{{"name":"plain"}},{{"name":"engine",)"
                 R"("engine":{{"kv-cache-tokens":9000,"kv-token-bytes":10,)"
                 R"("link-mbps":1000,"moves":true,"backups":true,)"
--- a/test/support/relay/relay_fleet.hpp
+++ b/test/support/relay/relay_fleet.hpp
@@ -87,7 +87,7 @@
 }
 
 /// Writes a configuration with the routes /safe/ and /once/ to the service
-/// `plain` and /stream/ to the service `engine`.
+/// `plain`, /stream/ and /resumable/ to the service `engine`.
 inline auto write_configuration(fake_log& log) -> void
 {
     log.write(
@@ -100,7 +100,10 @@
         R"("kind":"unsafe","service":"plain","timeout-ms":1500,)"
         R"("target-latency-ms":150},)"
         R"({"name":"stream","host":"h","path-prefix":"/stream/",)"
-        R"("kind":"streaming","service":"engine","timeout-ms":5000}],)"
+        R"("kind":"streaming","service":"engine","timeout-ms":5000},)"
+        R"({"name":"resumable","host":"h","path-prefix":"/resumable/",)"
+        R"("kind":"streaming","service":"engine","timeout-ms":5000,)"
+        R"("max-attempts":3,"stream-resume":true}],)"
         R"("services":[{"name":"plain"},{"name":"engine",)"
         R"("engine":{"kv-cache-tokens":9000,"kv-token-bytes":10,)"
         R"("link-mbps":1000,"moves":true,"backups":true,"stride":1}}]})");
