Tests of resumable streams: drop duplicates, add a rejected continuation

Two unit tests on routes and unreadable positions repeated what the tests with sockets check, with the same values. A replica that rejects the rest of a stream (421) had no test.

--- a/test/correctness/relay/lost_streams_continue_at_another_replica.cpp
+++ b/test/correctness/relay/lost_streams_continue_at_another_replica.cpp
@@ -79,6 +79,17 @@
     EXPECT_TRUE(with.world.logged("stream lost"));
 }
 
+// A full replica that rejects the rest of a stream must not end it.
+TEST(lost_stream, goes_on_past_a_replica_that_rejects_it)
+{
+    auto with = scripted_world{
+        {cut(events(1, 1)), failure(421, ""), complete(events(2, 2))}};
+    auto const answer = with.request("/resumable/a");
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->body, events(1, 2));
+    EXPECT_EQ(with.engine.field_of(2, "Last-Event-Id"), "1");
+}
+
 // A stream with a missing event must not look complete.
 TEST(lost_stream, is_aborted_if_the_next_run_begins_after_a_gap)
 {
--- a/test/correctness/relay/positions_decide_how_a_stream_goes_on.cpp
+++ b/test/correctness/relay/positions_decide_how_a_stream_goes_on.cpp
@@ -23,32 +23,6 @@
     }
 }
 
-// Without the flag a position must reach no replica, and an unreadable one must
-// not fail a request that was served before.
-TEST(stream_position, is_removed_where_the_route_accepts_none)
-{
-    auto request = caller_request{};
-    request.last_event = 4;
-    request.position_error = "unreadable";
-    EXPECT_FALSE(check_position(route{}, request));
-    EXPECT_FALSE(request.last_event);
-    EXPECT_FALSE(request.position_error);
-}
-
-TEST(stream_position, that_is_unreadable_is_an_error_where_it_is_accepted)
-{
-    auto resumable = route{};
-    resumable.may_resume = true;
-    auto request = caller_request{};
-    request.last_event = 4;
-    EXPECT_FALSE(check_position(resumable, request));
-    EXPECT_EQ(request.last_event, 4U);
-    request.position_error = "unreadable";
-    auto const error = check_position(resumable, request);
-    ASSERT_TRUE(error);
-    EXPECT_EQ(*error, (http::request_error{400, "unreadable"}));
-}
-
 // A stream that may run only once must never be sent again.
 TEST(cut_stream, is_sent_again_only_where_its_route_permits_it)
 {
