--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -1,17 +1,16 @@
 /// \file
 /// Defines the exchange of a stream: complete events are forwarded as they
 /// arrive, and the run resumes on another replica when its replica drains or is
-/// lost.
+/// lost. Where its route permits that, it is sent again from the last event.
 #ifndef SAPPHIREREEL_RELAY_STREAM_EXCHANGE_HPP
 #define SAPPHIREREEL_RELAY_STREAM_EXCHANGE_HPP
 
-#include "sapphirereel/relay/event_sequence.hpp"
 #include "sapphirereel/relay/event_splitter.hpp"
 #include "sapphirereel/relay/exchange.hpp"
 #include "sapphirereel/relay/forwarded_exchange.hpp"
-#include "sapphirereel/relay/run_backup.hpp"
-#include "sapphirereel/relay/run_migrator.hpp"
 #include "sapphirereel/relay/stream_load.hpp"
+#include "sapphirereel/relay/stream_position.hpp"
+#include "sapphirereel/relay/stream_resumption.hpp"
 
 namespace sapphirereel::relay {
 
@@ -35,15 +34,11 @@
 inline constexpr auto min_silence_of_stream =
     duration{std::chrono::milliseconds{2'000}};
 
-/// Longest time for which a run that is to resume at a replica waits until the
-/// replica's limit permits it.
-inline constexpr auto max_wait_for_resume_permit =
-    duration{std::chrono::milliseconds{1'000}};
-
 /// Serves one stream. Kept alive by the handlers of its pending operations.
 template <message_format Format>
 class stream_exchange final
     : public leaving_listener,
+      private resuming_stream,
       public std::enable_shared_from_this<stream_exchange<Format>>
 {
 public:
@@ -67,45 +62,10 @@
 
     auto replica_leaves(time_point now, double tokens_ahead) -> double override
     {
-        if (exchange_.finished || is_resuming_ || migrator_.is_active() ||
-            stopped_)
-        {
-            drained_while_resuming_ = is_resuming_;
-            return 0;
-        }
-        if (backup_.is_usable())
-        {
-            // The run resumes from its backup when the replica terminates it.
-            // That uses no bandwidth of the draining replica's link.
-            exchange_.state.log.request(
-                exchange_.request.id, "not migrated: has a backup",
-                {{"replica", target_.id}, {"copy_at", backup_.holder()->id}});
-            return 0;
-        }
-        auto const traits = exchange_.engine();
-        if (!traits || !traits->supports_migration)
-        {
-            return 0;
-        }
-        // Runs are migrated one after the other. If all were copied at once,
-        // the final part of each would queue behind the copies of the others.
-        migrator_.start(
-            this->weak_from_this(), target_, now,
-            migration_time(*traits, tokens_ahead));
-        return held_tokens();
+        return resumption_.replica_leaves(now, tokens_ahead);
     }
 
 private:
-    /// A run that a replica stopped and still holds.
-    struct kept_run
-    {
-        replica source;
-        /// Location of its memory, as in `continuation::memory`.
-        std::string memory;
-        /// When the source was found to leave.
-        time_point noticed_at;
-    };
-
     stream_exchange(
         relay_state& state,
         std::shared_ptr<caller_session> caller,
@@ -114,8 +74,8 @@
         : exchange_(
               state, std::move(caller), std::move(request), std::move(granted))
         , load_(state.replicas)
-        , backup_(state.replicas)
-        , migrator_(state, exchange_.request.id, migrator_callbacks())
+        , events_(exchange_.request.last_event)
+        , resumption_(exchange_, *this)
         , capacity_timer_(state.loop)
         , size_(exchange_.request.generation.value_or(generation_size{}))
         , expected_output_(relay::expected_output(
@@ -132,6 +92,7 @@
     auto begin() -> void
     {
         auto const self = this->shared_from_this();
+        resumption_.set_owner(self);
         exchange_.set_handlers(
             self, [self] { self->caller_disconnected(); },
             [weak = this->weak_from_this()](interruption why) {
@@ -140,9 +101,28 @@
                     held->interrupted(why);
                 }
             });
+        record_position();
         attempt();
     }
 
+    [[nodiscard]] auto may_resume() const -> bool
+    {
+        return exchange_.granted.route->may_resume;
+    }
+
+    /// Records that the caller resumes a stream.
+    auto record_position() -> void
+    {
+        if (!exchange_.request.last_event)
+        {
+            return;
+        }
+        exchange_.state.metrics.add(relay_counter::positions_received);
+        exchange_.state.log.request(
+            exchange_.request.id, "the caller resumes a stream",
+            {{"last_event", *exchange_.request.last_event}});
+    }
+
     [[nodiscard]] auto need() const -> placement_need
     {
         return {
@@ -153,9 +133,7 @@
             {}};
     }
 
-    /// The same, without the replicas that state limits: a run can't be resumed
-    /// there at any time.
-    [[nodiscard]] auto unlimited_need() const -> placement_need
+    [[nodiscard]] auto unlimited_need() const -> placement_need override
     {
         auto requirement = need();
         requirement.excluded.merge(
@@ -163,8 +141,7 @@
         return requirement;
     }
 
-    /// KV cache memory that the run holds, in tokens.
-    [[nodiscard]] auto held_tokens() const -> double
+    [[nodiscard]] auto held_tokens() const -> double override
     {
         return size_.prompt + output_tokens();
     }
@@ -172,15 +149,17 @@
     [[nodiscard]] auto output_tokens() const -> double
     {
         auto const traits = exchange_.engine();
-        return static_cast<double>(events_.count()) *
-               (traits ? traits->tokens_per_event : 1);
+        auto const per_event = traits ? traits->tokens_per_event : 1;
+        return preceding_tokens(exchange_.request, per_event) +
+               static_cast<double>(events_.count()) * per_event;
     }
 
     auto attempt() -> void
     {
         if (exchange_.is_poisoned())
         {
-            interrupted(interruption::poison);
+            auto const outcome = outcome_of(interruption::poison);
+            give_up(outcome.refusal, outcome.status, outcome.detail);
             return;
         }
         auto const now = telemetry::monotonic_now();
@@ -196,7 +175,7 @@
         }
         auto const chosen = exchange_.choose(need(), exchange_.engine(), now);
         auto const to = chosen ? address_of(chosen->target) : std::nullopt;
-        auto const waited = now - exchange_.started_at;
+        auto const waited = now - exchange_.waiting_since;
         if (!to)
         {
             // New connections may fail although older ones still carry
@@ -255,7 +234,7 @@
         capacity_timer_.cancel();
         unregister_stream();
         load_.release();
-        backup_.release();
+        resumption_.release();
         forwarded_exchange<Format>::start(exchange_);
     }
 
@@ -300,7 +279,7 @@
              {"expected_start", estimate.expected_start},
              {"waited", estimate.waited},
              {"left",
-              exchange_.remaining(exchange_.started_at + estimate.waited)}});
+              exchange_.remaining(exchange_.waiting_since + estimate.waited)}});
     }
 
     /// Sends the request, or its continuation, to a replica.
@@ -317,25 +296,28 @@
         auto const memory = need().memory_tokens;
         splitter_ = {};
         head_.reset();
-        source_ended_ = false;
-        ended_between_events_ = false;
-        backup_.choose(
-            {unlimited_need(), target_, expected_output_}, exchange_.engine(),
-            now);
+        failure_body_.clear();
+        auto const position = resumed ? std::nullopt : events_.last_number();
+        if (may_resume())
+        {
+            events_.begin_run();
+        }
+        resumption_.begin_run(target_, expected_output_, now);
+        auto const& backup = resumption_.backup_holder();
         load_.place(
             target.id, {1, memory, resumed ? 0 : size_.prompt,
-                        backup_.holder() ? 0 : held_tokens()});
+                        backup ? 0 : held_tokens()});
         exchange_.state.work_placed();
         auto const backup_address =
-            backup_.holder() ? std::optional{host_and_port(*backup_.holder())}
-                             : std::nullopt;
+            backup ? std::optional{host_and_port(*backup)} : std::nullopt;
         auto const self = this->shared_from_this();
         call_ = exchange_.state.pool.start(
             to,
             Format::write_call(
-                exchange_.request, {target.id, exchange_.remaining(now),
-                                    exchange_.granted.customer,
-                                    std::move(resumed), backup_address}),
+                exchange_.request,
+                {target.id, exchange_.remaining(now),
+                 exchange_.granted.customer, std::move(resumed), backup_address,
+                 position}),
             stream_call_options(),
             {[self](http::response_head const& head) {
                  self->handle_head(head);
@@ -354,31 +336,71 @@
         return options;
     }
 
-    /// Resumes a run whose replica is lost from its backup; returns false if
-    /// that is not possible.
-    auto resume_from_backup(time_point now) -> bool
+    [[nodiscard]] auto source() const -> replica const& override
+    {
+        return target_;
+    }
+
+    [[nodiscard]] auto events() const -> event_sequence const& override
+    {
+        return events_;
+    }
+
+    auto end_call() -> void override
+    {
+        if (auto const ended = std::exchange(call_, nullptr))
+        {
+            ended->cancel();
+        }
+    }
+
+    auto send_continuation(replica const& to, continuation const& resumed)
+        -> void override
+    {
+        send(to, *address_of(to), resumed);
+    }
+
+    auto run_lost(std::string_view why) -> void override
+    {
+        if (!send_again(why))
+        {
+            abort_stream(why);
+        }
+    }
+
+    /// Sends the request again, to continue after the last event, where its
+    /// route permits that; returns false if it does not.
+    auto send_again(std::string_view why) -> bool
     {
-        auto const* const held = backup_.listed_holder();
-        auto const to = held ? address_of(*held) : std::nullopt;
-        if (!to || !events_.last_number())
+        auto const position = next_position(
+            {may_resume(), exchange_.runs,
+             exchange_.granted.route->max_attempts, events_.has_begun(),
+             events_.last_number()});
+        if (!position)
         {
             return false;
         }
-        auto const next = replica{*held};
         exchange_.state.log.request(
-            exchange_.request.id, "resumes from its backup",
+            exchange_.request.id, "sent again",
             {{"replica", target_.id},
-             {"copy_at", next.id},
+             {"why", std::string{why}},
+             {"last_event", position->value_or(0)},
              {"events", events_.count()},
-             {"silent", time_since_last_event(now)}});
+             {"runs", exchange_.runs}});
+        exchange_.state.metrics.add(relay_counter::streams_sent_again);
+        end_call();
+        resumption_.reset();
+        unregister_stream();
+        load_.release();
+        exchange_.state.load_changed();
         exchange_.excluded.insert(target_.id);
-        migrator_.cancel();
-        stopped_.reset();
-        kept_at_source_.reset();
-        is_resuming_ = true;
-        resume_at(
-            next,
-            fmt::format("{}/{}", host_and_port(next), exchange_.request.id));
+        stray_bytes_ = 0;
+        is_sent_again_ = events_.has_begun();
+        if (is_sent_again_)
+        {
+            exchange_.waiting_since = telemetry::monotonic_now();
+        }
+        attempt();
         return true;
     }
 
@@ -442,7 +464,7 @@
             fail_call("an event does not end");
             return;
         }
-        resume_if_stopped();
+        resumption_.resume_if_stopped();
     }
 
     /// Closes the connection to a replica that sends bytes without end, and
@@ -450,32 +472,41 @@
     auto fail_call(std::string_view why) -> void
     {
         // Kept until the handler that runs now has returned.
-        auto const ended = std::exchange(call_, nullptr);
-        if (ended)
-        {
-            ended->cancel();
-        }
+        auto const ended = call_;
+        end_call();
         source_failed({call_stage::answering, std::string{why}});
     }
 
     auto forward(raw_event const& event, time_point now) -> void
     {
-        auto const place = events_.classify(event.number);
-        if (place == event_order::duplicate)
+        switch (action_for(events_, event, may_resume()))
         {
+        case block_action::forward:
+            forward_event(event, now);
+            return;
+        case block_action::pass_on:
+            exchange_.caller->stream(event.bytes);
+            apply_backpressure();
+            return;
+        case block_action::drop:
             stray_bytes_ += event.bytes.size();
             if (stray_bytes_ > max_stray_bytes)
             {
                 abort_stream("the replica repeats events without end");
             }
             return;
-        }
-        if (place == event_order::after_gap)
-        {
+        case block_action::abort_after_gap:
             abort_stream("an event is missing");
             return;
+        case block_action::abort_unnumbered:
+            abort_stream("an event after a position has no number");
+            return;
         }
-        if (place == event_order::first)
+    }
+
+    auto forward_event(raw_event const& event, time_point now) -> void
+    {
+        if (!events_.has_begun())
         {
             begin_response(now);
         }
@@ -484,7 +515,8 @@
             exchange_.state.metrics.observe(
                 relay_timing::pause, time_since_last_event(now));
         }
-        record_resumption(now);
+        record_continuation(now);
+        resumption_.record_event(now);
         events_.record_forwarded(event.number, now - exchange_.started_at);
         exchange_.state.metrics.add(relay_counter::stream_events);
         load_.update(
@@ -503,40 +535,41 @@
             head_->status, head_->reason, Format::response_fields(*head_));
         exchange_.state.metrics.observe(
             relay_timing::first_event, now - exchange_.started_at);
-        exchange_.state.prefill_pace_of(exchange_.service)
-            .add_sample(tokens_ahead_, now - sent_at_);
+        // Events that were sent again took time besides the prompt.
+        if (stray_bytes_ == 0)
+        {
+            exchange_.state.prefill_pace_of(exchange_.service)
+                .add_sample(tokens_ahead_, now - sent_at_);
+        }
         load_.prefill_completed();
         exchange_.state.load_changed();
     }
 
-    /// Time since the last event was forwarded.
-    [[nodiscard]] auto time_since_last_event(time_point now) const -> duration
-    {
-        return now - exchange_.started_at - events_.time_to_last();
-    }
-
-    /// Records the pause before the first event from the replica that resumed
-    /// the run.
-    auto record_resumption(time_point now) -> void
+    /// Records the first event of a run that continues after the last event of
+    /// a lost one.
+    auto record_continuation(time_point now) -> void
     {
-        if (!std::exchange(is_resuming_, false))
+        if (!std::exchange(is_sent_again_, false))
         {
             return;
         }
-        kept_at_source_.reset();
-        exchange_.state.metrics.add(relay_counter::streams_moved);
+        exchange_.record_output(now);
+        exchange_.state.metrics.add(relay_counter::streams_resumed);
         exchange_.state.metrics.observe(
             relay_timing::move_pause, time_since_last_event(now));
         exchange_.state.log.request(
-            exchange_.request.id, "resumed on another replica",
+            exchange_.request.id, "continues on another replica",
             {{"replica", target_.id},
              {"pause", time_since_last_event(now)},
              {"events", events_.count()}});
-        if (drained_while_resuming_)
-        {
-            drained_while_resuming_ = false;
-            replica_leaves(now, 0);
-        }
+        load_.prefill_completed();
+        exchange_.state.load_changed();
+    }
+
+    /// Time since the last event was forwarded.
+    [[nodiscard]] auto time_since_last_event(time_point now) const -> duration
+    {
+        return now - exchange_.started_at - events_.time_to_last();
     }
 
     /// Pauses reading from the replica until the caller has received the
@@ -570,15 +603,13 @@
             return;
         }
         auto const is_unframed = head_->ends_with_connection;
-        if (is_unframed && (migrator_.is_stopping() || stopped_))
+        if (is_unframed &&
+            resumption_.take_source_end(!splitter_.has_partial()))
         {
-            // A replica that stops a run ends its connection in the same way.
-            source_ended_ = true;
-            ended_between_events_ = !splitter_.has_partial();
-            resume_if_stopped();
             return;
         }
-        auto const has_events = events_.has_begun() && !is_resuming_;
+        auto const has_events =
+            events_.has_run_begun() && !resumption_.is_resuming();
         if (splitter_.has_partial() || (is_unframed && !has_events))
         {
             source_failed(
@@ -591,7 +622,7 @@
         complete(now);
     }
 
-    auto complete(time_point now) -> void
+    auto complete(time_point now) -> void override
     {
         exchange_.state.replicas.succeeded(target_.id);
         exchange_.record_answer(now);
@@ -611,12 +642,22 @@
             retry_not_run(now);
             return;
         }
+        auto const is_replica_failure = is_signed_ && head_->status >= 300;
+        auto const is_final = is_replica_failure && head_->status < 500 &&
+                              !resumption_.is_resuming();
+        if (is_replica_failure && !is_final && !events_.has_begun())
+        {
+            fallback_ = http::response{*head_, failure_body_};
+        }
+        if (!is_final && send_again("the answer is no stream"))
+        {
+            return;
+        }
         if (events_.has_begun())
         {
             abort_stream("the run was not continued");
             return;
         }
-        auto const is_replica_failure = is_signed_ && head_->status >= 300;
         if (!is_replica_failure)
         {
             give_up(
@@ -624,17 +665,24 @@
                 "the answer is not the replica's answer to this request");
             return;
         }
+        respond({*head_, failure_body_}, now);
+    }
+
+    /// Passes a replica's failure on.
+    auto respond(http::response const& failure, time_point now) -> void
+    {
         end(now);
         exchange_.state.metrics.add(relay_counter::answers);
         exchange_.caller->respond(
-            head_->status, Format::response_fields(*head_), failure_body_);
+            failure.head.status, Format::response_fields(failure.head),
+            failure.body);
     }
 
     auto retry_not_run(time_point now) -> void
     {
-        if (is_resuming_)
+        if (resumption_.is_resuming())
         {
-            resume_failed();
+            resumption_.resume_failed();
             return;
         }
         --exchange_.runs;
@@ -655,15 +703,16 @@
             return;
         }
         auto const now = telemetry::monotonic_now();
-        if (migrator_.is_stopping() || stopped_)
+        if (resumption_.take_source_end(false))
         {
-            source_ended_ = true;
-            resume_if_stopped();
             return;
         }
         exchange_.state.replicas.failed(target_.id, now);
         exchange_.record_path_failure(target_.id, now);
-        exchange_.attribute_crash(target_, why, events_.has_begun(), now);
+        auto const has_output =
+            events_.has_begun() &&
+            (events_.has_run_begun() || resumption_.is_resuming());
+        exchange_.attribute_crash(target_, why, has_output, now);
         exchange_.state.log.request(
             exchange_.request.id, "replica lost",
             {{"replica", target_.id},
@@ -673,9 +722,9 @@
         if (why.stage == call_stage::connecting)
         {
             exchange_.state.metrics.add(relay_counter::connections_failed);
-            if (is_resuming_)
+            if (resumption_.is_resuming())
             {
-                resume_failed();
+                resumption_.resume_failed();
                 return;
             }
             --exchange_.sends;
@@ -683,146 +732,12 @@
             retry_not_run(now);
             return;
         }
-        if (!resume_from_backup(now))
+        if (!resumption_.resume_from_backup(now))
         {
-            abort_stream(why.detail);
+            run_lost(why.detail);
         }
     }
 
-    // Migration to another replica.
-
-    auto migrator_callbacks() -> typename run_migrator<Format>::callbacks
-    {
-        return {
-            [this] { return choose_destination(); },
-            [this](stopped_run const& run) {
-                stopped_ = run;
-                resume_if_stopped();
-            },
-            [this](migration_failure how) { migration_failed(how); },
-            [this](replica const& which) {
-                exchange_.excluded.insert(which.id);
-            }};
-    }
-
-    auto choose_destination() -> std::optional<migration_destination>
-    {
-        exchange_.excluded.insert(target_.id);
-        auto requirement = unlimited_need();
-        requirement.memory_zone = target_.zone;
-        auto const chosen = exchange_.state.replicas.choose(
-            requirement, exchange_.engine(), telemetry::monotonic_now());
-        if (!chosen || !address_of(chosen->target))
-        {
-            return std::nullopt;
-        }
-        return migration_destination{chosen->target, requirement.memory_tokens};
-    }
-
-    auto migration_failed(migration_failure how) -> void
-    {
-        if (how == migration_failure::while_running || !source_ended_)
-        {
-            return;
-        }
-        auto const now = telemetry::monotonic_now();
-        if (how == migration_failure::run_ended && ended_between_events_)
-        {
-            complete(now);
-            return;
-        }
-        if (!resume_from_backup(now))
-        {
-            abort_stream("the run was not stopped in good order");
-        }
-    }
-
-    /// Resumes a stopped run elsewhere once all its events have been received
-    /// or its stream has ended.
-    auto resume_if_stopped() -> void
-    {
-        if (!stopped_)
-        {
-            return;
-        }
-        auto const has_all_events =
-            events_.last_number() >= stopped_->events_made;
-        if (!source_ended_ && !has_all_events)
-        {
-            return;
-        }
-        if (auto const ended = std::exchange(call_, nullptr))
-        {
-            ended->cancel();
-        }
-        auto const run = *std::exchange(stopped_, std::nullopt);
-        is_resuming_ = true;
-        auto const memory =
-            fmt::format("{}/{}", host_and_port(target_), run.handle);
-        if (run.next.id != target_.id)
-        {
-            kept_at_source_ = kept_run{target_, memory, run.noticed_at};
-        }
-        resume_at(run.next, memory);
-    }
-
-    /// Sends the continuation once the replica's limit permits it.
-    auto resume_at(replica const& next, std::string const& memory) -> void
-    {
-        resume_at(next, memory, telemetry::monotonic_now());
-    }
-
-    auto resume_at(
-        replica const& next, std::string const& memory, time_point since)
-        -> void
-    {
-        auto const now = telemetry::monotonic_now();
-        auto const permitted =
-            exchange_.state.gate.take(next.id, permit_use::running, now);
-        if (permitted == permission::granted)
-        {
-            send(
-                next, *address_of(next),
-                continuation{memory, events_.last_number().value_or(0)});
-            return;
-        }
-        if (now - since >= max_wait_for_resume_permit)
-        {
-            resume_failed();
-            return;
-        }
-        capacity_timer_.expires_after(open_replica_poll_interval);
-        capacity_timer_.async_wait([self = this->shared_from_this(), next,
-                                    memory, since](std::error_code error) {
-            if (!error && !self->exchange_.finished)
-            {
-                self->resume_at(next, memory, since);
-            }
-        });
-    }
-
-    /// Resumes a run that its destination has not taken at the source that
-    /// stopped it, while that still accepts requests.
-    auto resume_failed() -> void
-    {
-        auto const now = telemetry::monotonic_now();
-        auto const kept = std::exchange(kept_at_source_, std::nullopt);
-        if (kept && may_return_to_source(
-                        now - kept->noticed_at, exchange_.state.drain_limit))
-        {
-            exchange_.state.log.request(
-                exchange_.request.id, "resumes at its source",
-                {{"replica", target_.id}, {"source", kept->source.id}});
-            failure_body_.clear();
-            exchange_.excluded.insert(target_.id);
-            // The source still leaves, so that the run migrates again.
-            drained_while_resuming_ = true;
-            resume_at(kept->source, kept->memory);
-            return;
-        }
-        abort_stream("the run was not taken where it moved to");
-    }
-
     // Completion and failure.
 
     auto end(time_point now) -> void
@@ -830,10 +745,9 @@
         exchange_.finished = true;
         exchange_.deadline_timer.cancel();
         capacity_timer_.cancel();
-        migrator_.cancel();
+        resumption_.release();
         unregister_stream();
         load_.release();
-        backup_.release();
         exchange_.state.load_changed();
         if (call_)
         {
@@ -886,16 +800,28 @@
             exchange_.request.id, "stream lost",
             {{"replica", target_.id},
              {"why", std::string{why}},
-             {"continuing", is_resuming_},
+             {"continuing", resumption_.is_resuming() || is_sent_again_},
              {"events", events_.count()},
              {"after", now - exchange_.started_at}});
         exchange_.caller->abort();
     }
 
-    /// Ends a request for which the caller has received nothing.
+    /// Ends a request that no replica completes: with the last failure that a
+    /// replica answered, else with an error, if the caller has received
+    /// nothing.
     auto give_up(refusal_reason why, int status, std::string_view detail)
         -> void
     {
+        if (events_.has_begun())
+        {
+            abort_stream(detail);
+            return;
+        }
+        if (fallback_)
+        {
+            respond(*fallback_, telemetry::monotonic_now());
+            return;
+        }
         auto const may_have_run = exchange_.may_have_run();
         end(telemetry::monotonic_now());
         exchange_.finished = false;
@@ -961,9 +887,8 @@
 
     exchange exchange_;
     stream_load load_;
-    run_backup backup_;
     event_sequence events_;
-    run_migrator<Format> migrator_;
+    stream_resumption<Format> resumption_;
     asio::steady_timer capacity_timer_;
     generation_size size_;
     double expected_output_;
@@ -972,25 +897,19 @@
     std::optional<http::response_head> head_;
     event_splitter splitter_;
     std::string failure_body_;
+    /// A replica's failure of a request that was sent again.
+    std::optional<http::response> fallback_;
     /// Bytes of events that the caller had received already.
     std::size_t stray_bytes_ = 0;
     time_point sent_at_{};
     /// Prompt tokens that the replica had to process before the first event.
     double tokens_ahead_ = 0;
-    /// Set while the last events of a stopped run are awaited.
-    std::optional<stopped_run> stopped_;
-    /// The stopped run at its source, until another replica has resumed it.
-    std::optional<kept_run> kept_at_source_;
-    /// Whether the run was sent to another replica and has produced no event
-    /// there yet.
-    bool is_resuming_ = false;
+    /// Whether the run was sent to continue after the last event, without a
+    /// copy, and has produced no event yet.
+    bool is_sent_again_ = false;
     bool is_success_ = false;
     bool is_signed_ = false;
     bool not_run_ = false;
-    bool source_ended_ = false;
-    /// Whether a stream without framing ended where it may be complete.
-    bool ended_between_events_ = false;
-    bool drained_while_resuming_ = false;
     bool is_complete_ = false;
 };
 
