Room under competition: order, yielding and refusals of held streams

Cause: in bursts of long, less urgent streams the urgent ones start late, and held streams look for room at random moments, whichever came first. Change: room_policy has less urgent streams leave memory free for what more urgent ones need; held_streams attempts held streams by priority and latest start, and reports those that wait to the zone's peers; room_forecast and room_wait refuse at once what cannot start while its caller waits, with the expected wait as Retry-After. With one priority nothing changes. A capacity timer whose handler is queued no longer attempts a stream that was sent in another one's turn.

--- a/packages/relay/include/sapphirereel/relay/dispatch_policy.hpp
+++ b/packages/relay/include/sapphirereel/relay/dispatch_policy.hpp
@@ -36,13 +36,17 @@
     duration expected_start{0};
     /// Share of the replica's memory in use, the stream included.
     double memory_share = 0;
+    /// Share of the replica's memory that the stream leaves free for more
+    /// urgent ones.
+    double reserved_share = 0;
     auto operator<=>(dispatch_estimate const&) const = default;
 };
 
 /// Maximum share of a replica's memory in use for a stream to be sent there
 /// after it has waited for `waited`. It increases with the wait, so that small
-/// streams don't starve large ones.
-auto max_memory_share(duration waited) -> double;
+/// streams don't starve large ones, nor urgent streams less urgent ones, which
+/// leave `reserved_share` free.
+auto max_memory_share(duration waited, double reserved_share = 0) -> double;
 
 /// Whether a stream is sent now: if it starts in time, if its late start hardly
 /// delays others, or if its caller is likely to disconnect soon.
--- a/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
@@ -48,6 +48,9 @@
     forwards,
     forwards_failed,
     forwards_received,
+    streams_held,
+    streams_yielded,
+    streams_without_room,
     count_of_counters
 };
 
--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -431,10 +431,22 @@
         report.limits =
             state_.gate.limits().entries_to_report(telemetry::monotonic_now());
         report.lost_services = state_.paths.lost_services();
+        report.waiting = describe_waiting();
         cluster_sync_.fill_report(report, telemetry::monotonic_now());
         return report;
     }
 
+    /// The streams that wait for room, for services that peers may have more
+    /// or less urgent streams of.
+    [[nodiscard]] auto describe_waiting() const -> std::vector<waiting_entry>
+    {
+        return state_.held.entries_to_report([this](
+                                                 service_name const& service) {
+            return state_.table && allows_several_priorities(
+                                       state_.table->configuration(), service);
+        });
+    }
+
     auto apply_report(peer_report const& report, time_point now) -> void
     {
         state_.daemons = peers_.max_daemons();
@@ -442,6 +454,11 @@
         state_.crashes.apply_report(report.crashes, now);
         apply_part_reports(report.parts, now);
         apply_limits(report.limits, now);
+        if (report.zone == settings_.zone)
+        {
+            state_.held.set_peer_entries(
+                daemon_id{report.ip}, report.waiting, now);
+        }
         if (cluster_sync_.apply_report(report, now))
         {
             cluster_sync_.update_reader_role(peers_.alive(now), now);
--- a/packages/relay/include/sapphirereel/relay/relay_state.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_state.hpp
@@ -6,6 +6,7 @@
 #include "sapphirereel/core/length_estimate.hpp"
 #include "sapphirereel/relay/crash_tracker.hpp"
 #include "sapphirereel/relay/dispatch_policy.hpp"
+#include "sapphirereel/relay/held_streams.hpp"
 #include "sapphirereel/relay/path_monitor.hpp"
 #include "sapphirereel/relay/poison_part_tracker.hpp"
 #include "sapphirereel/relay/process_log.hpp"
@@ -13,6 +14,8 @@
 #include "sapphirereel/relay/relay_settings.hpp"
 #include "sapphirereel/relay/replica_table.hpp"
 #include "sapphirereel/relay/retry_share.hpp"
+#include "sapphirereel/relay/room_forecast.hpp"
+#include "sapphirereel/relay/room_policy.hpp"
 #include "sapphirereel/relay/routing.hpp"
 #include "sapphirereel/relay/send_gate.hpp"
 #include "sapphirereel/relay/upstream_call.hpp"
@@ -106,6 +109,11 @@
     std::map<service_name, retry_share> retries;
     std::map<service_name, prefill_pace> paces;
     length_estimator output_lengths;
+    /// What arriving streams need, those that wait for it, and the rate at
+    /// which it is found.
+    room_policy room;
+    held_streams held;
+    room_forecast room_found;
     std::mt19937_64 random;
     process_log log;
     relay_metrics metrics;
--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -9,6 +9,7 @@
 #include "sapphirereel/relay/event_splitter.hpp"
 #include "sapphirereel/relay/exchange.hpp"
 #include "sapphirereel/relay/forwarded_exchange.hpp"
+#include "sapphirereel/relay/room_wait.hpp"
 #include "sapphirereel/relay/run_backup.hpp"
 #include "sapphirereel/relay/run_migrator.hpp"
 #include "sapphirereel/relay/stream_load.hpp"
@@ -120,6 +121,7 @@
         , size_(exchange_.request.generation.value_or(generation_size{}))
         , expected_output_(relay::expected_output(
               state.output_lengths.curve(length_key()), size_))
+        , room_(exchange_, {need().memory_tokens, size_.prompt})
     {}
 
     /// Key of the learned output lengths: streams of one route are assumed to
@@ -140,6 +142,7 @@
                     held->interrupted(why);
                 }
             });
+        room_.record_arrival(exchange_.started_at);
         attempt();
     }
 
@@ -178,6 +181,7 @@
 
     auto attempt() -> void
     {
+        awaits_capacity_ = false;
         if (exchange_.is_poisoned())
         {
             interrupted(interruption::poison);
@@ -194,6 +198,11 @@
             forward(now);
             return;
         }
+        if (room_.must_wait(now))
+        {
+            hold(now);
+            return;
+        }
         auto const chosen = exchange_.choose(need(), exchange_.engine(), now);
         auto const to = chosen ? address_of(chosen->target) : std::nullopt;
         auto const waited = now - exchange_.started_at;
@@ -203,6 +212,7 @@
             // responses.
             if (exchange_.may_wait_for_open_replica(now))
             {
+                room_.release();
                 wait_for_capacity(waited);
             }
             else if (exchange_.is_out_of_reach(now))
@@ -219,10 +229,11 @@
         auto const tokens_ahead = chosen->pending_prefill_tokens + size_.prompt;
         auto const estimate = dispatch_estimate{
             waited, exchange_.granted.route->target_latency,
-            pace.time_for(tokens_ahead), chosen->memory_share};
+            pace.time_for(tokens_ahead), chosen->memory_share,
+            room_.reserved_share(now)};
         if (!should_dispatch(estimate))
         {
-            wait_for_capacity(waited);
+            hold(now);
             return;
         }
         if (!exchange_.may_send(now))
@@ -234,10 +245,12 @@
             chosen->target.id, permit_use::request, now);
         if (permitted != permission::granted)
         {
+            room_.release();
             wait_for_capacity(waited);
             return;
         }
         log_sent(*chosen, estimate);
+        room_.record_sent(now);
         tokens_ahead_ = tokens_ahead;
         ++exchange_.sends;
         ++exchange_.runs;
@@ -253,27 +266,60 @@
             return;
         }
         capacity_timer_.cancel();
+        room_.release();
         unregister_stream();
         load_.release();
         backup_.release();
         forwarded_exchange<Format>::start(exchange_);
     }
 
+    /// Queues the stream for a replica with room; refuses it if it can't start
+    /// while its caller waits.
+    auto hold(time_point now) -> void
+    {
+        room_.hold(
+            [weak = this->weak_from_this()] {
+                auto const self = weak.lock();
+                if (self && !self->exchange_.finished)
+                {
+                    self->attempt();
+                }
+            },
+            now);
+        if (auto const wait = room_.futile_wait(now))
+        {
+            exchange_.state.metrics.add(relay_counter::streams_without_room);
+            give_up(
+                refusal_reason::overload, 502, "no replica has room in time",
+                wait);
+            return;
+        }
+        wait_for_capacity(now - exchange_.started_at);
+    }
+
     /// Tries again after a short random delay; gives up after
-    /// `max_wait_for_capacity`.
+    /// `max_wait_for_capacity`, or later if streams of several priorities wait.
     auto wait_for_capacity(duration waited) -> void
     {
-        if (waited >= max_wait_for_capacity)
+        auto const now = exchange_.started_at + waited;
+        if (waited >= room_.longest_wait(max_wait_for_capacity, now))
         {
-            give_up(refusal_reason::overload, 502, "no replica has room");
+            give_up(
+                refusal_reason::overload, 502, "no replica has room",
+                room_.expected_wait(now));
             return;
         }
         auto spread = std::uniform_real_distribution<double>{0.6, 1.4};
+        awaits_capacity_ = true;
         capacity_timer_.expires_after(std::chrono::duration_cast<duration>(
             capacity_poll_interval * spread(exchange_.state.random)));
         capacity_timer_.async_wait(
             [self = this->shared_from_this()](std::error_code error) {
-                if (!error && !self->exchange_.finished)
+                // An attempt in another stream's turn may have sent the request
+                // while this handler was queued; it must not be sent twice.
+                if (!error && !self->exchange_.finished &&
+                    std::exchange(self->awaits_capacity_, false) &&
+                    !self->room_.attempt_in_order(telemetry::monotonic_now()))
                 {
                     self->attempt();
                 }
@@ -830,6 +876,7 @@
         exchange_.finished = true;
         exchange_.deadline_timer.cancel();
         capacity_timer_.cancel();
+        room_.release();
         migrator_.cancel();
         unregister_stream();
         load_.release();
@@ -893,8 +940,11 @@
     }
 
     /// Ends a request for which the caller has received nothing.
-    auto give_up(refusal_reason why, int status, std::string_view detail)
-        -> void
+    auto give_up(
+        refusal_reason why,
+        int status,
+        std::string_view detail,
+        std::optional<duration> retry_after = std::nullopt) -> void
     {
         auto const may_have_run = exchange_.may_have_run();
         end(telemetry::monotonic_now());
@@ -905,7 +955,7 @@
         }
         else
         {
-            exchange_.refuse(why);
+            exchange_.refuse(why, retry_after);
         }
     }
 
@@ -967,6 +1017,9 @@
     asio::steady_timer capacity_timer_;
     generation_size size_;
     double expected_output_;
+    room_wait room_;
+    /// Whether the stream waits to be attempted again.
+    bool awaits_capacity_ = false;
     std::shared_ptr<upstream_call> call_;
     replica target_;
     std::optional<http::response_head> head_;
--- a/packages/relay/src/dispatch_policy.cpp
+++ b/packages/relay/src/dispatch_policy.cpp
@@ -47,16 +47,17 @@
             tokens * microseconds_per_token_));
 }
 
-auto max_memory_share(duration waited) -> double
+auto max_memory_share(duration waited, double reserved_share) -> double
 {
-    return initial_memory_share +
+    return initial_memory_share - reserved_share +
            memory_share_per_second *
                std::chrono::duration<double>(waited).count();
 }
 
 auto should_dispatch(dispatch_estimate const& estimate) -> bool
 {
-    if (estimate.memory_share > max_memory_share(estimate.waited))
+    if (estimate.memory_share >
+        max_memory_share(estimate.waited, estimate.reserved_share))
     {
         return false;
     }
--- a/packages/relay/src/relay_metrics.cpp
+++ b/packages/relay/src/relay_metrics.cpp
@@ -46,7 +46,10 @@
     "paths_lost",
     "forwards",
     "forwards_failed",
-    "forwards_received"};
+    "forwards_received",
+    "streams_held",
+    "streams_yielded",
+    "streams_without_room"};
 
 constexpr auto timing_names = std::array<
     std::string_view,
