--- a/packages/relay/include/sapphirereel/relay/room_forecast.hpp
+++ b/packages/relay/include/sapphirereel/relay/room_forecast.hpp
@@ -49,21 +49,22 @@
     start_forecast const& forecast, caller_terms const& terms) -> bool;
 
 /// The rate at which streams of each service found room at this daemon. Only
-/// the time in which streams were held counts: without a queue the rate is that
-/// of the arrivals and says nothing about the room.
+/// the time in which some found none counts: otherwise the rate is that of the
+/// arrivals and says nothing about the room.
 class room_forecast
 {
 public:
-    /// Records that a stream of a service is held at this moment. Called
-    /// several times a second while any is.
-    auto record_held(service_name const& service, time_point now) -> void;
+    /// Records that a stream found no room. Called several times a second while
+    /// any is held for that.
+    auto record_full(service_name const& service, time_point now) -> void;
 
     /// Records that a stream that needs this memory, in tokens, was sent.
     auto record_sent(service_name const& service, double tokens, time_point now)
         -> void;
 
     /// Expected time until so much memory, in tokens, has been found. None
-    /// until enough streams were sent in the presence of a queue.
+    /// until enough streams were sent in the presence of streams that found no
+    /// room.
     [[nodiscard]] auto expected_wait(
         service_name const& service, double tokens, time_point now) const
         -> std::optional<duration>;
@@ -74,15 +75,15 @@
         time_point at;
         double tokens = 0;
     };
-    /// The time since which streams are held without a break.
-    struct queue_period
+    /// The time since which there has always been a stream without room.
+    struct full_period
     {
         time_point began_at;
-        time_point last_held_at;
+        time_point last_full_at;
         std::deque<sent_stream> sent;
     };
 
-    std::map<service_name, queue_period> periods_;
+    std::map<service_name, full_period> periods_;
 };
 
 } // namespace sapphirereel::relay
--- a/packages/relay/include/sapphirereel/relay/room_wait.hpp
+++ b/packages/relay/include/sapphirereel/relay/room_wait.hpp
@@ -39,9 +39,12 @@
     /// ones.
     [[nodiscard]] auto reserved_share(time_point now) const -> double;
 
+    /// Records that no replica has room for the stream now.
+    auto record_no_room(time_point now) -> void;
+
     /// Adds the stream to the queue, if it is not there. `attempt` is called
     /// when it is the stream's turn.
-    auto hold(std::function<void()> attempt, time_point now) -> void;
+    auto hold(std::function<void()> attempt) -> void;
 
     /// Removes the stream from the queue: it was sent, waits for something else
     /// than room, or has ended.
--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -233,6 +233,7 @@
             room_.reserved_share(now)};
         if (!should_dispatch(estimate))
         {
+            room_.record_no_room(now);
             hold(now);
             return;
         }
@@ -277,15 +278,13 @@
     /// while its caller waits.
     auto hold(time_point now) -> void
     {
-        room_.hold(
-            [weak = this->weak_from_this()] {
-                auto const self = weak.lock();
-                if (self && !self->exchange_.finished)
-                {
-                    self->attempt();
-                }
-            },
-            now);
+        room_.hold([weak = this->weak_from_this()] {
+            auto const self = weak.lock();
+            if (self && !self->exchange_.finished)
+            {
+                self->attempt();
+            }
+        });
         if (auto const wait = room_.futile_wait(now))
         {
             exchange_.state.metrics.add(relay_counter::streams_without_room);
--- a/packages/relay/src/room_forecast.cpp
+++ b/packages/relay/src/room_forecast.cpp
@@ -24,8 +24,9 @@
 constexpr auto min_rate_window = duration{milliseconds{1'000}};
 constexpr auto min_streams_sent = std::ptrdiff_t{3};
 
-/// Time without a held stream after which the rate is measured anew.
-constexpr auto max_queue_gap = duration{milliseconds{500}};
+/// Time after the last stream without room from which the rate is measured
+/// anew.
+constexpr auto max_full_gap = duration{milliseconds{500}};
 
 /// Longest wait that is forecast.
 constexpr auto max_forecast = std::chrono::duration<double>{60};
@@ -57,17 +58,17 @@
            latest_useful_start(terms);
 }
 
-auto room_forecast::record_held(service_name const& service, time_point now)
+auto room_forecast::record_full(service_name const& service, time_point now)
     -> void
 {
     auto const [found, is_new] =
-        periods_.try_emplace(service, queue_period{now, now, {}});
+        periods_.try_emplace(service, full_period{now, now, {}});
     auto& period = found->second;
-    if (now - period.last_held_at > max_queue_gap)
+    if (now - period.last_full_at > max_full_gap)
     {
-        period = queue_period{now, now, {}};
+        period = full_period{now, now, {}};
     }
-    period.last_held_at = now;
+    period.last_full_at = now;
 }
 
 auto room_forecast::record_sent(
@@ -83,7 +84,7 @@
     {
         sent.pop_front();
     }
-    if (now - found->second.last_held_at <= max_queue_gap)
+    if (now - found->second.last_full_at <= max_full_gap)
     {
         sent.push_back({now, tokens});
     }
--- a/packages/relay/src/room_wait.cpp
+++ b/packages/relay/src/room_wait.cpp
@@ -105,9 +105,13 @@
         now);
 }
 
-auto room_wait::hold(std::function<void()> attempt, time_point now) -> void
+auto room_wait::record_no_room(time_point now) -> void
+{
+    exchange_->state.room_found.record_full(exchange_->service, now);
+}
+
+auto room_wait::hold(std::function<void()> attempt) -> void
 {
-    exchange_->state.room_found.record_held(exchange_->service, now);
     if (hold_)
     {
         return;
--- a/test/correctness/relay/one_priority_waits_as_before.cpp
+++ b/test/correctness/relay/one_priority_waits_as_before.cpp
@@ -74,9 +74,9 @@
     auto const now = second->started_at;
     ahead.record_arrival(now);
     behind.record_arrival(now);
-    ahead.hold([] {}, now);
+    ahead.hold([] {});
     EXPECT_FALSE(behind.must_wait(now));
-    behind.hold([] { FAIL() << "attempted out of its own turn"; }, now);
+    behind.hold([] { FAIL() << "attempted out of its own turn"; });
     EXPECT_FALSE(behind.attempt_in_order(now));
     EXPECT_EQ(behind.reserved_share(now), 0);
     EXPECT_EQ(behind.longest_wait(usual_limit, now), usual_limit);
@@ -97,10 +97,10 @@
     EXPECT_GT(second.reserved_share(now), 0);
     EXPECT_EQ(first.reserved_share(now), 0);
     auto attempts = 0;
-    first.hold([&] { ++attempts; }, now);
+    first.hold([&] { ++attempts; });
     EXPECT_TRUE(second.must_wait(now));
     EXPECT_FALSE(first.must_wait(now));
-    second.hold([&] { ++attempts; }, now);
+    second.hold([&] { ++attempts; });
     EXPECT_TRUE(second.must_wait(now + milliseconds{1'900}));
     EXPECT_FALSE(second.must_wait(now + milliseconds{2'000}));
     EXPECT_TRUE(second.attempt_in_order(now));
@@ -135,12 +135,13 @@
     auto const start = later->started_at;
     first.record_arrival(start);
     huge.record_arrival(start);
-    first.hold([] {}, start);
+    first.hold([] {});
+    first.record_no_room(start);
     EXPECT_FALSE(huge.futile_wait(start));
     for (auto tenth = 1; tenth <= 10; ++tenth)
     {
         auto const now = start + milliseconds{100 * tenth};
-        state_.room_found.record_held(model, now);
+        state_.room_found.record_full(model, now);
         state_.room_found.record_sent(model, 200, now);
     }
     // 2,000 tokens in a second: 1.5 s for the first, 21.5 s for the second.
--- a/test/correctness/relay/streams_that_cannot_start_are_refused.cpp
+++ b/test/correctness/relay/streams_that_cannot_start_are_refused.cpp
@@ -23,7 +23,7 @@
     auto forecast = room_forecast{};
     for (auto moment = 0; moment <= 40; ++moment)
     {
-        forecast.record_held(model, start + milliseconds{50 * moment});
+        forecast.record_full(model, start + milliseconds{50 * moment});
     }
     for (auto count = 0; count < streams; ++count)
     {
@@ -54,7 +54,7 @@
     ended.record_sent(model, 90'000, start + seconds{3});
     EXPECT_EQ(
         ended.expected_wait(model, 4'000, start + seconds{2}), seconds{2});
-    ended.record_held(model, start + seconds{4});
+    ended.record_full(model, start + seconds{4});
     EXPECT_FALSE(ended.expected_wait(model, 1, start + seconds{6}));
 }
 
