Evacuation of a zone: nothing new is sent to its replicas

cluster_sync now derives the set of evacuated zones from the newest records of the configuration's stream and sets it in the replica table; daemons learn of the records as of the configuration, from the log or from a peer's copy. Choice, backups, migrations, resumed and returned runs, trial connections and limits leave out these replicas, and where a zone may have been evacuated since the choice it is checked again before sending. A service with replicas in evacuated zones only has its requests refused at once (503, zone_evacuated). A record with an unknown key now gets one warning.

--- a/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
@@ -90,6 +90,10 @@
             give_up(refusal_reason::deadline, 504, "no time is left");
             return;
         }
+        if (exchange_.refuse_if_evacuated())
+        {
+            return;
+        }
         if (may_run_elsewhere() && exchange_.must_forward(now))
         {
             forward(now);
--- a/packages/relay/include/sapphirereel/relay/cluster_sync.hpp
+++ b/packages/relay/include/sapphirereel/relay/cluster_sync.hpp
@@ -6,6 +6,7 @@
 #define SAPPHIREREEL_RELAY_CLUSTER_SYNC_HPP
 
 #include "sapphirereel/relay/buffered_call.hpp"
+#include "sapphirereel/relay/evacuation.hpp"
 #include "sapphirereel/relay/exchange.hpp"
 #include "sapphirereel/relay/leaving_replica_set.hpp"
 #include "sapphirereel/relay/log_follower.hpp"
@@ -310,8 +311,58 @@
              {"next", follower_of(stream).cache().next().offset}});
     }
 
+    /// Applies the evacuations that the records order. The set is that of the
+    /// records, also if the log was restored from an older copy.
+    auto evacuations_changed() -> void
+    {
+        auto ordered = std::set<zone_name>{};
+        for (auto const& record : configuration_.cache().newest())
+        {
+            if (auto zone = Reader::read_evacuation(record))
+            {
+                ordered.insert(std::move(*zone));
+            }
+        }
+        auto const change =
+            evacuation_change::between(state_.replicas.evacuated(), ordered);
+        if (change.is_empty())
+        {
+            return;
+        }
+        state_.replicas.set_evacuated(std::move(ordered));
+        state_.metrics.add(relay_counter::zones_evacuated, change.begun.size());
+        state_.metrics.add(relay_counter::zones_returned, change.ended.size());
+        state_.log.info(
+            "evacuation", "evacuated zones changed",
+            {{"begun", names_of(change.begun)},
+             {"ended", names_of(change.ended)},
+             {"zones", names_of(state_.replicas.evacuated())},
+             {"era", configuration_.cache().changed_until().era},
+             {"next", configuration_.cache().changed_until().offset}});
+        notify_peers_();
+    }
+
+    /// Warns of a record whose key is not known, once for each record.
+    auto warn_of_unknown_key(keyed_record const& record) -> void
+    {
+        if (Reader::read_evacuation(record) ||
+            std::exchange(unknown_keys_[record.key], record.position) ==
+                record.position)
+        {
+            return;
+        }
+        state_.log.warning(
+            "configuration", "ignored a record with an unknown key",
+            {{"key", record.key},
+             {"offset", record.position.offset},
+             {"remedy", "use the key config, or evacuate/ZONE"}});
+    }
+
     auto configuration_changed() -> void
     {
+        // First, so that no request is served by a new configuration and old
+        // evacuations.
+        evacuations_changed();
         auto const version_before =
             state_.table ? state_.table->configuration().version : 0;
         for (auto const& record : configuration_.cache().newest())
@@ -326,7 +377,12 @@
                      {"why", read.error()}});
                 continue;
             }
-            if (!*read || (state_.table && (**read).version <= version_before))
+            if (!*read)
+            {
+                warn_of_unknown_key(record);
+                continue;
+            }
+            if (state_.table && (**read).version <= version_before)
             {
                 continue;
             }
@@ -648,6 +704,9 @@
     std::set<keyed_stream> fetching_;
     /// The record of the configuration in force.
     std::optional<keyed_record> in_force_record_;
+    /// Positions of the records of the configuration's stream that were ignored
+    /// because of their keys.
+    std::map<std::string, std::optional<log_position>> unknown_keys_;
     bool is_primary_log_reader_ = false;
     /// Whether the first read of the log was put off.
     bool has_postponed_ = false;
--- a/packages/relay/include/sapphirereel/relay/exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/exchange.hpp
@@ -150,6 +150,10 @@
     /// they state. Returns whether it did.
     auto refuse_if_none_takes_it(time_point now) -> bool;
 
+    /// Refuses the request if it has not run and all replicas of its service
+    /// are in evacuated zones. Returns whether it did.
+    auto refuse_if_evacuated() -> bool;
+
     /// Ends the request with an error status that does not state whether it was
     /// executed.
     auto fail(int status, std::string_view why) -> void;
--- a/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
@@ -48,6 +48,8 @@
     forwards,
     forwards_failed,
     forwards_received,
+    zones_evacuated,
+    zones_returned,
     count_of_counters
 };
 
--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -551,7 +551,9 @@
         for (auto const& [id, each] : state_.replicas.replicas())
         {
             auto const to = address_of(each);
-            if (each.service == service && !each.leaving && to)
+            auto const is_usable =
+                !each.leaving && !state_.replicas.is_evacuated(each);
+            if (each.service == service && is_usable && to)
             {
                 usable.push_back(*to);
             }
--- a/packages/relay/include/sapphirereel/relay/replica_table.hpp
+++ b/packages/relay/include/sapphirereel/relay/replica_table.hpp
@@ -115,6 +115,21 @@
         return replicas_;
     }
 
+    /// Replaces the zones whose replicas are sent nothing new.
+    auto set_evacuated(std::set<zone_name> zones) -> void;
+
+    [[nodiscard]] auto evacuated() const -> std::set<zone_name> const&
+    {
+        return evacuated_;
+    }
+
+    /// Whether a replica is in an evacuated zone.
+    [[nodiscard]] auto is_evacuated(replica const& which) const -> bool;
+
+    /// Whether a service has replicas that are not leaving, all of them in
+    /// evacuated zones.
+    [[nodiscard]] auto has_only_evacuated(service_name const& of) const -> bool;
+
     /// Adds to or subtracts from this daemon's own count.
     auto add(endpoint_id const& id, replica_load const& load) -> void;
     auto remove(endpoint_id const& id, replica_load const& load) -> void;
@@ -257,6 +272,7 @@
     std::map<endpoint_id, failure_count> failures_;
     std::map<endpoint_id, backoff> backoffs_;
     std::map<zone_name, timed_peer_load> zones_;
+    std::set<zone_name> evacuated_;
 };
 
 } // namespace sapphirereel::relay
--- a/packages/relay/include/sapphirereel/relay/request_admission.hpp
+++ b/packages/relay/include/sapphirereel/relay/request_admission.hpp
@@ -62,11 +62,13 @@
     replicas_busy,
     /// The replicas of the service take no more requests now, by the limits
     /// that they state.
-    replicas_limited
+    replicas_limited,
+    /// All replicas of the service are in evacuated zones.
+    zone_evacuated
 };
 
 inline constexpr auto count_of_refusal_reasons =
-    static_cast<std::size_t>(refusal_reason::replicas_limited) + 1;
+    static_cast<std::size_t>(refusal_reason::zone_evacuated) + 1;
 
 /// The name of a reason in logs and metrics.
 auto name_of(refusal_reason reason) -> std::string_view;
--- a/packages/relay/include/sapphirereel/relay/run_backup.hpp
+++ b/packages/relay/include/sapphirereel/relay/run_backup.hpp
@@ -44,12 +44,13 @@
         return holder_;
     }
 
-    /// The holder's current entry in the replica table; null if it is gone, or
-    /// has restarted and so lost the copy.
+    /// The holder's current entry in the replica table; null if it is gone, has
+    /// restarted and so lost the copy, or is in an evacuated zone.
     [[nodiscard]] auto listed_holder() const -> replica const*;
 
     /// Whether the backup is expected to exist when the run's own replica is
-    /// gone: its holder is neither gone nor draining.
+    /// gone and may be used: its holder is neither gone nor draining, nor in an
+    /// evacuated zone.
     [[nodiscard]] auto is_usable() const -> bool;
 
 private:
--- a/packages/relay/include/sapphirereel/relay/run_migrator.hpp
+++ b/packages/relay/include/sapphirereel/relay/run_migrator.hpp
@@ -200,6 +200,13 @@
     auto send_request(bool stop) -> void
     {
         requested_at_ = telemetry::monotonic_now();
+        if (state_.replicas.is_evacuated(destination_))
+        {
+            // The zone was evacuated after the choice; nothing is stopped yet.
+            load_.release();
+            begin();
+            return;
+        }
         auto const permitted =
             state_.gate.take(source_.id, permit_use::running, requested_at_);
         if (permitted != permission::granted)
--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -189,6 +189,10 @@
             give_up(refusal_reason::deadline, 504, "no time is left");
             return;
         }
+        if (exchange_.refuse_if_evacuated())
+        {
+            return;
+        }
         if (!exchange_.may_have_run() && exchange_.must_forward(now))
         {
             forward(now);
@@ -766,7 +770,8 @@
         resume_at(run.next, memory);
     }
 
-    /// Sends the continuation once the replica's limit permits it.
+    /// Sends the continuation once the replica's limit permits it. The zone is
+    /// checked each time, as it may have been evacuated since the choice.
     auto resume_at(replica const& next, std::string const& memory) -> void
     {
         resume_at(next, memory, telemetry::monotonic_now());
@@ -777,6 +782,11 @@
         -> void
     {
         auto const now = telemetry::monotonic_now();
+        if (exchange_.state.replicas.is_evacuated(next))
+        {
+            resume_outside_evacuated_zones(next, now);
+            return;
+        }
         auto const permitted =
             exchange_.state.gate.take(next.id, permit_use::running, now);
         if (permitted == permission::granted)
@@ -801,14 +811,39 @@
         });
     }
 
+    /// Whether a stopped run may resume at its source.
+    [[nodiscard]] auto may_resume_at_source(time_point now) const -> bool
+    {
+        return kept_at_source_ &&
+               may_return_to_source(
+                   now - kept_at_source_->noticed_at,
+                   exchange_.state.drain_limit) &&
+               !exchange_.state.replicas.is_evacuated(kept_at_source_->source);
+    }
+
+    /// Resumes a run that was to resume at a replica of an evacuated zone: at
+    /// its source or from its backup.
+    auto resume_outside_evacuated_zones(replica const& next, time_point now)
+        -> void
+    {
+        exchange_.state.log.request(
+            exchange_.request.id, "not resumed in an evacuated zone",
+            {{"replica", next.id}, {"zone", next.zone.str()}});
+        if (!may_resume_at_source(now) && resume_from_backup(now))
+        {
+            return;
+        }
+        resume_failed();
+    }
+
     /// Resumes a run that its destination has not taken at the source that
     /// stopped it, while that still accepts requests.
     auto resume_failed() -> void
     {
         auto const now = telemetry::monotonic_now();
+        auto const may_return = may_resume_at_source(now);
         auto const kept = std::exchange(kept_at_source_, std::nullopt);
-        if (kept && may_return_to_source(
-                        now - kept->noticed_at, exchange_.state.drain_limit))
+        if (may_return)
         {
             exchange_.state.log.request(
                 exchange_.request.id, "resumes at its source",
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -1,5 +1,7 @@
 #include "sapphirereel/relay/exchange.hpp"
 
+#include "sapphirereel/relay/evacuation.hpp"
+
 namespace sapphirereel::relay {
 
 exchange::exchange(
@@ -222,7 +224,8 @@
     auto const& listed = state.replicas.replicas();
     auto const count =
         std::count_if(listed.begin(), listed.end(), [this](auto const& each) {
-            return each.second.service == service && !each.second.leaving;
+            return each.second.service == service && !each.second.leaving &&
+                   !state.replicas.is_evacuated(each.second);
         });
     auto const is_lost = state.paths.record_failure(
         service, at, static_cast<std::size_t>(count), now);
@@ -299,6 +302,20 @@
     return wait.has_value();
 }
 
+auto exchange::refuse_if_evacuated() -> bool
+{
+    if (may_have_run() || !state.replicas.has_only_evacuated(service))
+    {
+        return false;
+    }
+    state.log.request(
+        request.id, "all replicas of the service are in evacuated zones",
+        {{"service", service},
+         {"zones", names_of(state.replicas.evacuated())}});
+    refuse(refusal_reason::zone_evacuated);
+    return true;
+}
+
 auto record_replica_state(
     relay_state& state,
     replica const& at,
--- a/packages/relay/src/relay_metrics.cpp
+++ b/packages/relay/src/relay_metrics.cpp
@@ -46,7 +46,9 @@
     "paths_lost",
     "forwards",
     "forwards_failed",
-    "forwards_received"};
+    "forwards_received",
+    "zones_evacuated",
+    "zones_returned"};
 
 constexpr auto timing_names = std::array<
     std::string_view,
--- a/packages/relay/src/replica_table.cpp
+++ b/packages/relay/src/replica_table.cpp
@@ -140,6 +140,38 @@
     return found == replicas_.end() ? nullptr : &found->second;
 }
 
+auto replica_table::set_evacuated(std::set<zone_name> zones) -> void
+{
+    evacuated_ = std::move(zones);
+}
+
+auto replica_table::is_evacuated(replica const& which) const -> bool
+{
+    return evacuated_.contains(which.zone);
+}
+
+auto replica_table::has_only_evacuated(service_name const& of) const -> bool
+{
+    if (evacuated_.empty())
+    {
+        return false;
+    }
+    auto has_evacuated = false;
+    for (auto const& [id, each] : replicas_)
+    {
+        if (each.service != of || each.leaving)
+        {
+            continue;
+        }
+        if (!is_evacuated(each))
+        {
+            return false;
+        }
+        has_evacuated = true;
+    }
+    return has_evacuated;
+}
+
 auto replica_table::add(endpoint_id const& id, replica_load const& load) -> void
 {
     add_load(own_[id], load);
@@ -250,7 +282,7 @@
     auto earliest = std::optional<time_point>{};
     for (auto const& [id, each] : replicas_)
     {
-        if (each.service != of || each.leaving)
+        if (each.service != of || each.leaving || is_evacuated(each))
         {
             continue;
         }
@@ -331,7 +363,7 @@
     auto whole = 0.0;
     for (auto const& [id, each] : replicas_)
     {
-        if (each.service == service && !each.leaving)
+        if (each.service == service && !each.leaving && !is_evacuated(each))
         {
             used += load_of(id).memory_tokens;
             whole += engine.memory_tokens;
@@ -429,7 +461,8 @@
     for (auto const& [id, each] : replicas_)
     {
         if (each.service == need.service && !each.leaving &&
-            !need.excluded.contains(id) && !is_backing_off(id, now))
+            !is_evacuated(each) && !need.excluded.contains(id) &&
+            !is_backing_off(id, now))
         {
             usable.push_back(each);
         }
--- a/packages/relay/src/request_admission.cpp
+++ b/packages/relay/src/request_admission.cpp
@@ -47,6 +47,8 @@
         return "replicas_busy";
     case refusal_reason::replicas_limited:
         return "replicas_limited";
+    case refusal_reason::zone_evacuated:
+        return "zone_evacuated";
     }
     return "unknown";
 }
--- a/packages/relay/src/run_backup.cpp
+++ b/packages/relay/src/run_backup.cpp
@@ -57,7 +57,8 @@
     auto const* const listed = holder_ ? replicas_->find(holder_->id) : nullptr;
     auto const is_same_start =
         listed != nullptr && listed->started_at_ms == holder_->started_at_ms;
-    return is_same_start ? listed : nullptr;
+    return is_same_start && !replicas_->is_evacuated(*listed) ? listed
+                                                              : nullptr;
 }
 
 auto run_backup::is_usable() const -> bool
--- a/packages/relay/src/send_gate.cpp
+++ b/packages/relay/src/send_gate.cpp
@@ -36,6 +36,7 @@
     {
         auto const* const listed = replicas_->find(id);
         auto const is_candidate = listed != nullptr && !listed->leaving &&
+                                  !replicas_->is_evacuated(*listed) &&
                                   listed->service == need.service &&
                                   !need.excluded.contains(id);
         if (!is_candidate)
