Cold replicas: all daemons together keep to their rate

A replica that has just started, or that became cold later, crashes if it gets more requests per second than its service states. Nothing added up what all daemons send to it.

cold_replicas keeps when each replica is warm: by its record, its responses, peers' reports and the return of its zone to service. send_gate uses the lower one of the stated and the cold rate, so that the homes of replicas issue the permits as for stated rates. For cold replicas a home issues the share of the rate that corresponds to the daemons that it hears among all known, nothing where it is not the home in its own view, and bursts up to the slack; permits are valid for 120 ms. A heartbeat that counts the cold time down is a renewal. Requests that find no permit wait briefly and are refused with the time until one.

--- a/packages/relay/include/sapphirereel/relay/cluster_sync.hpp
+++ b/packages/relay/include/sapphirereel/relay/cluster_sync.hpp
@@ -330,6 +330,9 @@
             return;
         }
         state_.replicas.set_evacuated(std::move(ordered));
+        state_.gate.cold().zones_returned(
+            change.ended, state_.replicas.replicas(),
+            telemetry::monotonic_now());
         state_.metrics.add(relay_counter::zones_evacuated, change.begun.size());
         state_.metrics.add(relay_counter::zones_returned, change.ended.size());
         state_.log.info(
@@ -389,6 +392,8 @@
             state_.table =
                 std::make_shared<routing_table const>(std::move(**read));
             in_force_record_ = record;
+            state_.gate.cold().set_services(
+                state_.table->configuration().services);
             state_.log.info(
                 "configuration", "in force",
                 {{"version", state_.table->configuration().version},
@@ -445,11 +450,17 @@
                  {"why", read.error()}});
         }
         auto named = read ? std::optional{std::move(*read)} : std::nullopt;
+        if (named)
+        {
+            state_.gate.cold().record_listed(
+                *named, telemetry::monotonic_now());
+        }
         entries_[record.key] = {record.position, named};
         return named;
     }
 
-    /// Whether a replica's record only says again what the one before it said.
+    /// Whether a replica's record only says again what the one before it said,
+    /// or only that the replica is cold for less time than before.
     /// A record of a replica that is taken to be gone is no renewal, since it
     /// may show that the replica is back.
     auto is_renewal(keyed_record const& before, keyed_record const& after)
@@ -462,6 +473,8 @@
             return false;
         }
         held->renewal = renewed->renewal;
+        held->cold_remaining =
+            std::min(held->cold_remaining, renewed->cold_remaining);
         auto const is_taken_for_gone =
             leaving_.covers(held->id, record_of(*held, before.position));
         if (*held != *renewed || is_taken_for_gone)
@@ -469,6 +482,7 @@
             return false;
         }
         entries_[after.key] = {after.position, *renewed};
+        state_.gate.cold().record_listed(*renewed, telemetry::monotonic_now());
         return true;
     }
 
--- a/packages/relay/include/sapphirereel/relay/exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/exchange.hpp
@@ -36,6 +36,10 @@
 inline constexpr auto retry_elsewhere_after =
     duration{std::chrono::milliseconds{50}};
 
+/// Minimum Retry-After of a request that found no permit for cold replicas.
+inline constexpr auto min_cold_retry_after =
+    duration{std::chrono::milliseconds{50}};
+
 /// Delay after which a caller may retry a request that crashes replicas. Crash
 /// records expire, as the replicas' software may have been fixed since.
 inline constexpr auto poison_retry_after = duration{std::chrono::seconds{60}};
--- a/packages/relay/include/sapphirereel/relay/message_format.hpp
+++ b/packages/relay/include/sapphirereel/relay/message_format.hpp
@@ -61,6 +61,8 @@
     stated_limits limits;
     /// The replica that answers; empty if the response names none.
     endpoint_id replica;
+    /// Time until the replica is warm, 0 if it is; none if it does not say.
+    std::optional<duration> cold;
     auto operator<=>(replica_response const&) const = default;
 };
 
--- a/packages/relay/include/sapphirereel/relay/peer_gossip.hpp
+++ b/packages/relay/include/sapphirereel/relay/peer_gossip.hpp
@@ -71,8 +71,8 @@
     /// Sets the handler of requests for permits, by this daemon and by others,
     /// and that of the responses to this daemon's own requests.
     auto set_permit_handlers(
-        std::function<permit_response(permit_request const&, double share)>
-            issue,
+        std::function<
+            permit_response(permit_request const&, permit_shares const&)> issue,
         std::function<void(permit_response const&)> responded) -> void;
 
     /// Sends a request for a permit to the replica's home. If that is this
@@ -103,6 +103,8 @@
     auto make_report() -> peer_report;
     auto receive(std::string_view bytes) -> void;
     auto receive_permit_message(permit_message const& message) -> void;
+    [[nodiscard]] auto permit_shares_for(
+        endpoint_id const& replica, time_point now) const -> permit_shares;
     [[nodiscard]] auto is_seed() const -> bool;
     auto send_known_addresses(std::string const& ip) -> void;
     auto send_reply(peer_report const& asked) -> void;
@@ -124,7 +126,7 @@
     describer describe_;
     zone_describer describe_zone_;
     report_handler on_report_;
-    std::function<permit_response(permit_request const&, double share)>
+    std::function<permit_response(permit_request const&, permit_shares const&)>
         issue_permit_;
     std::function<void(permit_response const&)> on_permit_response_;
     peer_table peers_;
--- a/packages/relay/include/sapphirereel/relay/peer_table.hpp
+++ b/packages/relay/include/sapphirereel/relay/peer_table.hpp
@@ -86,6 +86,13 @@
     /// partition.
     [[nodiscard]] auto permit_share(time_point now) const -> double;
 
+    /// The part of a cold replica's rate that this daemon issues permits for: 0
+    /// unless it is the replica's home, else the part of the known daemons that
+    /// are alive. Daemons that are not heard may issue permits on the other
+    /// side of a partition, however long that lasts.
+    [[nodiscard]] auto cold_permit_share(
+        endpoint_id const& replica, time_point now) const -> double;
+
     /// The last reports of the daemons that are alive. In a large fleet these
     /// are all daemons of this zone and a few of each other one.
     [[nodiscard]] auto alive(time_point now) const -> std::vector<peer_report>;
--- a/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
@@ -50,6 +50,7 @@
     forwards_received,
     zones_evacuated,
     zones_returned,
+    replicas_turned_cold,
     count_of_counters
 };
 
--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -85,6 +85,7 @@
         , stop_timer_(loop)
     {
         state_.drain_limit = settings_.drain_limit;
+        state_.gate.set_cold_bounds(settings_.cold, settings_.peers.ip);
         state_.load_changed = [this] {
             peers_.schedule_report(report_scope::zone);
         };
@@ -404,9 +405,9 @@
             peers_.request_permit(asked);
         });
         peers_.set_permit_handlers(
-            [this](permit_request const& asked, double share) {
-                auto response =
-                    state_.gate.issue(asked, share, telemetry::monotonic_now());
+            [this](permit_request const& asked, permit_shares const& shares) {
+                auto response = state_.gate.issue(
+                    asked, shares, telemetry::monotonic_now());
                 state_.metrics.add(
                     response.wait > duration{0}
                         ? relay_counter::permits_denied
@@ -430,6 +431,8 @@
         report.parts = state_.parts.entries_to_report();
         report.limits =
             state_.gate.limits().entries_to_report(telemetry::monotonic_now());
+        report.cold =
+            state_.gate.cold().entries_to_report(telemetry::monotonic_now());
         report.lost_services = state_.paths.lost_services();
         cluster_sync_.fill_report(report, telemetry::monotonic_now());
         return report;
@@ -442,6 +445,7 @@
         state_.crashes.apply_report(report.crashes, now);
         apply_part_reports(report.parts, now);
         apply_limits(report.limits, now);
+        apply_cold(report.cold, now);
         if (cluster_sync_.apply_report(report, now))
         {
             cluster_sync_.update_reader_role(peers_.alive(now), now);
@@ -476,6 +480,17 @@
         }
     }
 
+    /// In a large fleet news is passed on, as for prompt parts.
+    auto apply_cold(std::vector<cold_entry> const& cold, time_point now) -> void
+    {
+        auto const has_news = state_.gate.cold().apply_report(
+            cold, state_.replicas.replicas(), now);
+        if (has_news && peers_.is_zoned())
+        {
+            peers_.schedule_report(report_scope::all);
+        }
+    }
+
     /// Rules on parts that were at several crashes, and tells the peers.
     auto update_parts(time_point now) -> void
     {
--- a/packages/relay/include/sapphirereel/relay/relay_settings.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_settings.hpp
@@ -6,6 +6,7 @@
 #include "sapphirereel/core/clock.hpp"
 #include "sapphirereel/core/identifier.hpp"
 #include "sapphirereel/relay/retry_share.hpp"
+#include "sapphirereel/relay/send_permit.hpp"
 
 #include <asio/ip/address.hpp>
 #include <asio/ip/tcp.hpp>
@@ -50,6 +51,8 @@
     duration stop_limit{std::chrono::seconds{8}};
     /// Longest time for which a leaving replica may be sent requests.
     duration drain_limit{std::chrono::seconds{2}};
+    /// What cold replicas may get in any second.
+    cold_bounds cold;
     auto operator<=>(relay_settings const&) const = default;
 };
 
--- a/packages/relay/include/sapphirereel/relay/replica_table.hpp
+++ b/packages/relay/include/sapphirereel/relay/replica_table.hpp
@@ -35,6 +35,9 @@
     std::uint64_t started_at_ms = 0;
     /// Number of the last renewal of its record, counted from its start.
     std::uint64_t renewal = 0;
+    /// Time from the writing of its record until it is warm; 0 if it is warm or
+    /// the record does not say.
+    duration cold_remaining{0};
     auto operator<=>(replica const&) const = default;
 };
 
--- a/packages/relay/include/sapphirereel/relay/routing.hpp
+++ b/packages/relay/include/sapphirereel/relay/routing.hpp
@@ -87,6 +87,11 @@
     /// Most connections to one replica, from all daemons together.
     std::uint32_t max_connections = 0;
     std::optional<engine_traits> engine;
+    /// Time for which a replica is cold after its start.
+    duration warmup{0};
+    /// Requests per second that a cold replica takes from all daemons together;
+    /// 0 if there is no limit.
+    double cold_rate = 0;
     auto operator<=>(service const&) const = default;
 };
 
--- a/packages/relay/include/sapphirereel/relay/send_gate.hpp
+++ b/packages/relay/include/sapphirereel/relay/send_gate.hpp
@@ -4,6 +4,7 @@
 #ifndef SAPPHIREREEL_RELAY_SEND_GATE_HPP
 #define SAPPHIREREEL_RELAY_SEND_GATE_HPP
 
+#include "sapphirereel/relay/cold_replicas.hpp"
 #include "sapphirereel/relay/replica_table.hpp"
 #include "sapphirereel/relay/send_permit.hpp"
 #include "sapphirereel/relay/stated_limits.hpp"
@@ -31,6 +32,8 @@
     std::set<endpoint_id> ids;
     /// Whether one of them may be open within some milliseconds.
     bool may_open_soon = false;
+    /// Time until a permit for one of those that are cold may be issued.
+    std::optional<duration> cold_wait = std::nullopt;
     auto operator<=>(closed_replicas const&) const = default;
 };
 
@@ -47,6 +50,10 @@
 
     auto set_asker(asker ask) -> void;
 
+    /// Sets what cold replicas may get in any second, and the text by which
+    /// this daemon differs from others.
+    auto set_cold_bounds(cold_bounds const& bounds, std::string self) -> void;
+
     /// The replicas of a service that a request may not be sent to, because
     /// they take no more now. Asks for a permit for one of them, unless one is
     /// held or awaited.
@@ -69,14 +76,21 @@
     /// Records that a replica rejected a request.
     auto record_rejection(endpoint_id const& id, time_point now) -> void;
 
-    /// Issues a permit as the replica's home, or denies it. `share` is the part
-    /// of the replica's limit that this home issues permits for.
-    auto issue(permit_request const& asked, double share, time_point now)
-        -> permit_response;
+    /// Issues a permit as the replica's home, or denies it. `shares` are the
+    /// parts of the replica's limits that this home issues permits for.
+    auto issue(
+        permit_request const& asked,
+        permit_shares const& shares,
+        time_point now) -> permit_response;
 
     auto apply_response(permit_response const& response, time_point now)
         -> void;
 
+    [[nodiscard]] auto cold() -> cold_replicas&
+    {
+        return cold_;
+    }
+
     [[nodiscard]] auto limits() -> limit_registry&
     {
         return limits_;
@@ -99,6 +113,19 @@
     [[nodiscard]] auto yields(
         service_name const& service, int priority, time_point now) const
         -> bool;
+    /// The lower one of the rate that a replica states and its rate while it is
+    /// cold.
+    [[nodiscard]] auto rate_of(endpoint_id const& id, time_point now) const
+        -> std::optional<double>;
+    /// The rate of a replica that is cold by what this daemon knows or by the
+    /// rate that another one asks with.
+    [[nodiscard]] auto cold_rate_of(permit_request const& asked, time_point now)
+        const -> std::optional<double>;
+    auto issue_cold(
+        permit_request const& asked, double rate, double share, time_point now)
+        -> duration;
+    /// Sets the time until one of the closed replicas that are cold may open.
+    auto set_cold_wait(closed_replicas& closed, time_point now) const -> void;
     /// Asks for a permit for the replica that was asked for least recently.
     /// Returns whether a response is awaited.
     auto ask_for_one(std::vector<endpoint_id> const& among, time_point now)
@@ -109,6 +136,9 @@
     asker ask_ = [](permit_request const&) {
     };
     limit_registry limits_;
+    cold_replicas cold_;
+    cold_bounds cold_bounds_;
+    std::string self_;
     permit_issuer issuer_;
     permit_holder permits_;
     /// When a request of each priority was refused last.
--- a/packages/relay/include/sapphirereel/relay/send_permit.hpp
+++ b/packages/relay/include/sapphirereel/relay/send_permit.hpp
@@ -67,6 +67,52 @@
 inline constexpr auto permit_validity =
     duration{std::chrono::milliseconds{300}};
 
+/// The same for a cold replica. Its limit counts in each second, and permits
+/// that were issued before that second are used within it.
+inline constexpr auto cold_permit_validity =
+    duration{std::chrono::milliseconds{120}};
+
+/// The parts of a replica's limits that one home issues permits for.
+struct permit_shares
+{
+    /// Of the rate that the replica states.
+    double stated = 1;
+    /// Of the rate of a cold replica; 0 if this daemon is not its home.
+    double cold = 1;
+    auto operator<=>(permit_shares const&) const = default;
+};
+
+/// What a cold replica may get in any second: its rate times `overage`, and
+/// `slack` requests more.
+struct cold_bounds
+{
+    double overage = 1.5;
+    double slack = 5;
+    auto operator<=>(cold_bounds const&) const = default;
+};
+
+/// How the permits of one replica are issued.
+struct permit_terms
+{
+    /// Permits per second.
+    double rate = 0;
+    /// Permits that accumulate while nobody asks for them.
+    double burst = 1;
+    /// Permits that are issued to running requests beyond the rate.
+    double reserve = 0;
+    /// Permits that a new bucket holds.
+    double initial = 0;
+    auto operator<=>(permit_terms const&) const = default;
+};
+
+/// The terms for a cold replica of which a home has a share of the rate. All
+/// homes together keep to the bounds. `phase` is from 0 to 1 and differs from
+/// home to home: it spreads the permits of homes that issue less than one at a
+/// time.
+auto cold_permit_terms(
+    double rate, double share, cold_bounds const& bounds, double phase)
+    -> permit_terms;
+
 /// Issues the permits of the replicas whose home this daemon is: at most the
 /// replica's rate, one request in a burst, and a few more for runs that execute
 /// already. What these take is made up for by requests.
@@ -80,6 +126,13 @@
         endpoint_id const& id, double rate, permit_use use, time_point now)
         -> duration;
 
+    /// The same on other terms.
+    auto issue(
+        endpoint_id const& id,
+        permit_terms const& terms,
+        permit_use use,
+        time_point now) -> duration;
+
     /// Drops the state of replicas for which no permit was asked for a while.
     auto expire(time_point now) -> void;
 
@@ -115,8 +168,16 @@
     auto ask(endpoint_id const& id, permit_use use, time_point now)
         -> std::optional<std::uint64_t>;
 
-    auto apply_response(permit_response const& response, time_point now)
-        -> void;
+    /// Applies a home's response; a permit may be used for `validity` from when
+    /// it was asked for.
+    auto apply_response(
+        permit_response const& response,
+        time_point now,
+        duration validity = permit_validity) -> void;
+
+    /// Time until a permit for a request may be asked for again.
+    [[nodiscard]] auto time_until_asked(
+        endpoint_id const& id, time_point now) const -> duration;
 
     /// Drops what has expired.
     auto expire(time_point now) -> void;
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -291,7 +291,11 @@
     if (!closed_.ids.empty())
     {
         state.gate.record_refusal(service, granted.priority, now);
-        refuse(refusal_reason::replicas_limited);
+        auto const wait = closed_.cold_wait;
+        refuse(
+            refusal_reason::replicas_limited,
+            wait ? std::optional{std::max(*wait, min_cold_retry_after)}
+                 : std::nullopt);
         return true;
     }
     auto const wait = state.replicas.time_until_accepted(service, now);
@@ -342,6 +346,15 @@
              {"rejections", response.limits.rejections.value_or(0)}});
         state.limits_changed();
     }
+    if (response.cold &&
+        state.gate.cold().record_response(at, *response.cold, sent_at, now))
+    {
+        state.metrics.add(relay_counter::replicas_turned_cold);
+        state.log.info(
+            "replicas", "a replica says that it is cold",
+            {{"replica", at.id}, {"remaining", *response.cold}});
+        state.limits_changed();
+    }
     if (response.not_run)
     {
         state.gate.record_rejection(at.id, now);
--- a/packages/relay/src/peer_gossip.cpp
+++ b/packages/relay/src/peer_gossip.cpp
@@ -197,7 +197,8 @@
 }
 
 auto peer_gossip::set_permit_handlers(
-    std::function<permit_response(permit_request const&, double share)> issue,
+    std::function<permit_response(permit_request const&, permit_shares const&)>
+        issue,
     std::function<void(permit_response const&)> responded) -> void
 {
     issue_permit_ = std::move(issue);
@@ -211,19 +212,27 @@
     metrics_.add(relay_counter::permits_asked);
     if (home.ip == own_.ip)
     {
-        on_permit_response_(issue_permit_(asked, home.share));
+        on_permit_response_(
+            issue_permit_(asked, permit_shares_for(asked.replica, now)));
         return;
     }
     asked.ip = own_.ip;
     datagrams_->send(home.ip, write_permit_message(asked));
 }
 
+auto peer_gossip::permit_shares_for(
+    endpoint_id const& replica, time_point now) const -> permit_shares
+{
+    return {peers_.permit_share(now), peers_.cold_permit_share(replica, now)};
+}
+
 auto peer_gossip::receive_permit_message(permit_message const& message) -> void
 {
     if (auto const* const asked = std::get_if<permit_request>(&message))
     {
         auto const now = telemetry::monotonic_now();
-        auto const response = issue_permit_(*asked, peers_.permit_share(now));
+        auto const response =
+            issue_permit_(*asked, permit_shares_for(asked->replica, now));
         datagrams_->send(asked->ip, write_permit_message(response));
         return;
     }
--- a/packages/relay/src/peer_table.cpp
+++ b/packages/relay/src/peer_table.cpp
@@ -208,6 +208,22 @@
     return alive_members / recent_members / static_cast<double>(zones);
 }
 
+auto peer_table::cold_permit_share(
+    endpoint_id const& replica, time_point now) const -> double
+{
+    if (permit_home_of(replica, now).ip != own_ip_)
+    {
+        return 0;
+    }
+    auto const alive_members =
+        1 + std::count_if(peers_.begin(), peers_.end(), [&](auto const& each) {
+            return is_permit_member(each.second) && is_alive(each.second, now);
+        });
+    auto const zones = is_zoned() ? zones_of_others().size() + 1 : 1;
+    return static_cast<double>(alive_members) /
+           static_cast<double>(mesh_size()) / static_cast<double>(zones);
+}
+
 auto peer_table::is_permit_member(peer const& which) const -> bool
 {
     auto const issues_permits = which.last.version >= previous_report_version;
--- a/packages/relay/src/relay_metrics.cpp
+++ b/packages/relay/src/relay_metrics.cpp
@@ -48,7 +48,8 @@
     "forwards_failed",
     "forwards_received",
     "zones_evacuated",
-    "zones_returned"};
+    "zones_returned",
+    "replicas_turned_cold"};
 
 constexpr auto timing_names = std::array<
     std::string_view,
--- a/packages/relay/src/send_gate.cpp
+++ b/packages/relay/src/send_gate.cpp
@@ -1,6 +1,10 @@
 #include "sapphirereel/relay/send_gate.hpp"
 
+#include "sapphirereel/core/rendezvous.hpp"
+
 #include <algorithm>
+#include <cmath>
+#include <limits>
 
 namespace sapphirereel::relay {
 namespace {
@@ -13,6 +17,16 @@
 /// after a rejection.
 constexpr auto rejection_pause = duration{std::chrono::milliseconds{1'000}};
 
+/// Time until a permit for a cold replica within which a request waits for it.
+constexpr auto max_cold_wait = duration{std::chrono::milliseconds{100}};
+
+/// Time after which a daemon may ask again if the one that it asked is not the
+/// home of a cold replica: both soon agree on which daemons are alive.
+constexpr auto wait_for_other_home = duration{std::chrono::milliseconds{50}};
+
+/// Difference of rates that are equal, after rounding.
+constexpr auto rate_tolerance = 1e-6;
+
 } // namespace
 
 send_gate::send_gate(replica_table const& replicas)
@@ -24,6 +38,21 @@
     ask_ = std::move(ask);
 }
 
+auto send_gate::set_cold_bounds(cold_bounds const& bounds, std::string self)
+    -> void
+{
+    cold_bounds_ = bounds;
+    self_ = std::move(self);
+}
+
+auto send_gate::rate_of(endpoint_id const& id, time_point now) const
+    -> std::optional<double>
+{
+    auto const stated = limits_.limits_of(id).rate;
+    auto const cold = cold_.rate_of(id, now);
+    return stated && cold ? std::min(*stated, *cold) : (cold ? cold : stated);
+}
+
 auto send_gate::find_closed(
     placement_need const& need,
     std::optional<engine_traits> const& engine,
@@ -32,7 +61,9 @@
 {
     auto closed = closed_replicas{};
     auto limited = std::vector<endpoint_id>{};
-    for (auto const& id : limits_.limited_replicas())
+    auto all = limits_.limited_replicas();
+    all.merge(cold_.cold_now(now));
+    for (auto const& id : all)
     {
         auto const* const listed = replicas_->find(id);
         auto const is_candidate = listed != nullptr && !listed->leaving &&
@@ -49,7 +80,7 @@
             closed.ids.insert(id);
             closed.may_open_soon = true;
         }
-        else if (stated.rate)
+        else if (rate_of(id, now))
         {
             limited.push_back(id);
         }
@@ -70,9 +101,29 @@
             closed.ids.insert(id);
         }
     }
+    if (!must_yield)
+    {
+        set_cold_wait(closed, now);
+    }
     return closed;
 }
 
+auto send_gate::set_cold_wait(closed_replicas& closed, time_point now) const
+    -> void
+{
+    for (auto const& id : closed.ids)
+    {
+        if (cold_.rate_of(id, now))
+        {
+            auto const wait = permits_.time_until_asked(id, now);
+            closed.cold_wait = std::min(closed.cold_wait.value_or(wait), wait);
+        }
+    }
+    closed.may_open_soon =
+        closed.may_open_soon ||
+        (closed.cold_wait && *closed.cold_wait <= max_cold_wait);
+}
+
 auto send_gate::ask_for_one(
     std::vector<endpoint_id> const& among, time_point now) -> bool
 {
@@ -110,7 +161,7 @@
     auto const number = permits_.ask(id, use, now);
     if (number)
     {
-        auto const rate = limits_.limits_of(id).rate.value_or(0);
+        auto const rate = rate_of(id, now).value_or(0);
         ask_({{}, *number, id, rate, use});
     }
 }
@@ -118,7 +169,7 @@
 auto send_gate::take(endpoint_id const& id, permit_use use, time_point now)
     -> permission
 {
-    if (!limits_.limits_of(id).rate || permits_.take(id, now))
+    if (!rate_of(id, now) || permits_.take(id, now))
     {
         return permission::granted;
     }
@@ -175,25 +226,64 @@
     }
 }
 
-auto send_gate::issue(permit_request const& asked, double share, time_point now)
+auto send_gate::cold_rate_of(permit_request const& asked, time_point now) const
+    -> std::optional<double>
+{
+    auto const known = cold_.rate_of(asked.replica, now);
+    auto const* const listed = replicas_->find(asked.replica);
+    if (known || listed == nullptr)
+    {
+        return known;
+    }
+    auto const of_service = cold_.rate_of_service(listed->service);
+    auto const is_asked_as_cold =
+        of_service && std::abs(*of_service - asked.rate) < rate_tolerance;
+    return is_asked_as_cold ? of_service : std::nullopt;
+}
+
+auto send_gate::issue_cold(
+    permit_request const& asked, double rate, double share, time_point now)
+    -> duration
+{
+    if (share <= 0)
+    {
+        return wait_for_other_home;
+    }
+    auto const phase =
+        static_cast<double>(rendezvous_weight(asked.replica.str(), self_)) /
+        static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+    return issuer_.issue(
+        asked.replica, cold_permit_terms(rate, share, cold_bounds_, phase),
+        asked.use, now);
+}
+
+auto send_gate::issue(
+    permit_request const& asked, permit_shares const& shares, time_point now)
     -> permit_response
 {
     auto const known = limits_.limits_of(asked.replica).rate;
     auto const rate = known ? std::min(*known, asked.rate) : asked.rate;
-    return {
-        asked.number, asked.replica,
-        issuer_.issue(asked.replica, rate * share, asked.use, now), asked.use};
+    auto const cold = cold_rate_of(asked, now);
+    auto const wait =
+        cold ? issue_cold(asked, std::min(rate, *cold), shares.cold, now)
+             : issuer_.issue(
+                   asked.replica, rate * shares.stated, asked.use, now);
+    return {asked.number, asked.replica, wait, asked.use};
 }
 
 auto send_gate::apply_response(permit_response const& response, time_point now)
     -> void
 {
-    permits_.apply_response(response, now);
+    permits_.apply_response(
+        response, now,
+        cold_.rate_of(response.replica, now) ? cold_permit_validity
+                                             : permit_validity);
 }
 
 auto send_gate::expire(time_point now) -> void
 {
     limits_.retain(replicas_->replicas(), now);
+    cold_.retain(replicas_->replicas(), now);
     issuer_.expire(now);
     permits_.expire(now);
     std::erase_if(rejections_, [&](auto const& each) {
--- a/packages/relay/src/send_permit.cpp
+++ b/packages/relay/src/send_permit.cpp
@@ -155,16 +155,44 @@
     }
 }
 
+auto cold_permit_terms(
+    double rate, double share, cold_bounds const& bounds, double phase)
+    -> permit_terms
+{
+    // The permits that are used in one second were issued within this time.
+    constexpr auto window =
+        1 + std::chrono::duration<double>(cold_permit_validity).count();
+    auto const beyond_rate =
+        std::max(0.0, bounds.slack + (bounds.overage - window) * rate);
+    auto const reserve = std::min(running_reserve, beyond_rate / 2);
+    auto const burst = std::min(bounds.slack, beyond_rate - reserve);
+    auto const is_less_than_one = burst * share < 1;
+    return {
+        rate * share, std::max(max_burst, burst * share), reserve * share,
+        is_less_than_one ? -phase : 0};
+}
+
 auto permit_issuer::issue(
     endpoint_id const& id, double rate, permit_use use, time_point now)
     -> duration
 {
-    auto const used_rate = std::max(min_rate, rate);
-    auto& held = buckets_.try_emplace(id, bucket{0, now}).first->second;
+    return issue(
+        id, permit_terms{rate, max_burst, running_reserve, 0}, use, now);
+}
+
+auto permit_issuer::issue(
+    endpoint_id const& id,
+    permit_terms const& terms,
+    permit_use use,
+    time_point now) -> duration
+{
+    auto const used_rate = std::max(min_rate, terms.rate);
+    auto& held =
+        buckets_.try_emplace(id, bucket{terms.initial, now}).first->second;
     auto const passed = std::chrono::duration<double>(now - held.at).count();
-    held.tokens = std::min(max_burst, held.tokens + passed * used_rate);
+    held.tokens = std::min(terms.burst, held.tokens + passed * used_rate);
     held.at = now;
-    auto const reserve = use == permit_use::running ? running_reserve : 0;
+    auto const reserve = use == permit_use::running ? terms.reserve : 0;
     auto const missing = 1 - reserve - held.tokens;
     if (missing > 0)
     {
@@ -238,8 +266,22 @@
     return last_number_;
 }
 
+auto permit_holder::time_until_asked(
+    endpoint_id const& id, time_point now) const -> duration
+{
+    auto const found = replicas_.find(id);
+    if (found == replicas_.end())
+    {
+        return duration{0};
+    }
+    auto const& again_at = found->second.ask_again_at;
+    return std::max(
+        duration{0},
+        again_at[static_cast<std::size_t>(permit_use::request)] - now);
+}
+
 auto permit_holder::apply_response(
-    permit_response const& response, time_point now) -> void
+    permit_response const& response, time_point now, duration validity) -> void
 {
     auto const found = replicas_.find(response.replica);
     if (found == replicas_.end() || found->second.awaited != response.number)
@@ -252,7 +294,7 @@
     {
         // Counted from the request, because the home issued the permit after
         // it.
-        state.held_until = state.asked_at + permit_validity;
+        state.held_until = state.asked_at + validity;
         return;
     }
     state.ask_again_at[static_cast<std::size_t>(response.use)] =
--- a/test/error/deployment/boot_settings_report_all_findings.cpp
+++ b/test/error/deployment/boot_settings_report_all_findings.cpp
@@ -25,6 +25,16 @@
         read->seeds, (std::vector<std::string>{"10.1.0.19", "10.2.0.13"}));
     EXPECT_EQ(read->retry_budget.slack, 58);
     EXPECT_EQ(read->stop_limit, std::chrono::seconds{8});
+    EXPECT_EQ(read->cold, (relay::cold_bounds{1.5, 5}));
+}
+
+TEST(boot_settings, hold_the_bounds_of_cold_replicas)
+{
+    auto const read = read_boot_settings(
+        std::string{good} + "bounds.cold-overage=2\nbounds.cold-slack=7\n",
+        "boot.conf");
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->cold, (relay::cold_bounds{2, 7}));
 }
 
 TEST(boot_settings, report_all_that_is_wrong_with_its_place)
