Cold replicas: invalid times are counted, those of records with a warning

An invalid cold time in a record or a response was ignored without a trace. It is now counted (invalid_cold_times), and a record's gets one warning with its key, its offset and the remedy; the rest of the record or response still counts.

--- a/packages/relay/include/sapphirereel/relay/cluster_sync.hpp
+++ b/packages/relay/include/sapphirereel/relay/cluster_sync.hpp
@@ -450,6 +450,15 @@
                  {"why", read.error()}});
         }
         auto named = read ? std::optional{std::move(*read)} : std::nullopt;
+        if (named && named->has_invalid_cold)
+        {
+            state_.metrics.add(relay_counter::invalid_cold_times);
+            state_.log.warning(
+                "replicas", "ignored an invalid time until a replica is warm",
+                {{"key", record.key},
+                 {"offset", record.position.offset},
+                 {"remedy", "write a number of milliseconds from 0"}});
+        }
         if (named)
         {
             state_.gate.cold().record_listed(
--- a/packages/relay/include/sapphirereel/relay/message_format.hpp
+++ b/packages/relay/include/sapphirereel/relay/message_format.hpp
@@ -63,6 +63,8 @@
     endpoint_id replica;
     /// Time until the replica is warm, 0 if it is; none if it does not say.
     std::optional<duration> cold;
+    /// Whether it states that time in a form that can't be read.
+    bool has_invalid_cold = false;
     auto operator<=>(replica_response const&) const = default;
 };
 
--- a/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
@@ -51,6 +51,7 @@
     zones_evacuated,
     zones_returned,
     replicas_turned_cold,
+    invalid_cold_times,
     count_of_counters
 };
 
--- a/packages/relay/include/sapphirereel/relay/replica_table.hpp
+++ b/packages/relay/include/sapphirereel/relay/replica_table.hpp
@@ -38,6 +38,8 @@
     /// Time from the writing of its record until it is warm; 0 if it is warm or
     /// the record does not say.
     duration cold_remaining{0};
+    /// Whether the record states that time in a form that can't be read.
+    bool has_invalid_cold = false;
     auto operator<=>(replica const&) const = default;
 };
 
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -346,6 +346,10 @@
              {"rejections", response.limits.rejections.value_or(0)}});
         state.limits_changed();
     }
+    if (response.has_invalid_cold)
+    {
+        state.metrics.add(relay_counter::invalid_cold_times);
+    }
     if (response.cold &&
         state.gate.cold().record_response(at, *response.cold, sent_at, now))
     {
--- a/packages/relay/src/relay_metrics.cpp
+++ b/packages/relay/src/relay_metrics.cpp
@@ -49,7 +49,8 @@
     "forwards_received",
     "zones_evacuated",
     "zones_returned",
-    "replicas_turned_cold"};
+    "replicas_turned_cold",
+    "invalid_cold_times"};
 
 constexpr auto timing_names = std::array<
     std::string_view,
--- a/test/correctness/relay/cold_replicas_are_known_to_all.cpp
+++ b/test/correctness/relay/cold_replicas_are_known_to_all.cpp
@@ -149,21 +149,24 @@
                  value)});
     };
     EXPECT_EQ(record("2500")->cold_remaining, milliseconds{2'500});
+    EXPECT_FALSE(record("2500")->has_invalid_cold);
     // An invalid one does not cost the record.
     for (auto const* const invalid : {"-4", "\"x\"", "null", "1e300"})
     {
         EXPECT_EQ(record(invalid)->cold_remaining, duration{0}) << invalid;
+        EXPECT_TRUE(record(invalid)->has_invalid_cold) << invalid;
     }
     auto const response = [](std::string const& value) {
         auto head = http::response_head{};
         head.status = 200;
         head.fields = {{"X-Sapphirereel-Cold-Ms", value}};
-        return deployment::wire_format::read_response(head).cold;
+        return deployment::wire_format::read_response(head);
     };
-    EXPECT_EQ(response("1500"), duration{milliseconds{1'500}});
-    EXPECT_EQ(response("0"), duration{0});
-    EXPECT_FALSE(response("-1"));
-    EXPECT_FALSE(response("soon"));
+    EXPECT_EQ(response("1500").cold, duration{milliseconds{1'500}});
+    EXPECT_EQ(response("0").cold, duration{0});
+    EXPECT_FALSE(response("0").has_invalid_cold);
+    EXPECT_FALSE(response("-1").cold);
+    EXPECT_TRUE(response("soon").has_invalid_cold);
     auto const whole = record_reader::read_configuration(
         {"config", 4,
          R"({"version":7,"routes":[],"services":[)"
--- a/test/correctness/relay/cold_replicas_get_few_requests.cpp
+++ b/test/correctness/relay/cold_replicas_get_few_requests.cpp
@@ -100,7 +100,8 @@
         run_for(milliseconds{300});
     }
 
-    auto evacuate(std::string const& zone, std::optional<std::string> value)
+    auto evacuate(
+        std::string const& zone, std::optional<std::string> const& value)
         -> void
     {
         for (auto const& each : logs)
