--- a/packages/relay/include/sapphirereel/relay/exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/exchange.hpp
@@ -36,6 +36,10 @@
 inline constexpr auto retry_elsewhere_after =
     duration{std::chrono::milliseconds{50}};
 
+/// Minimum Retry-After of a request that found no permit for cold replicas.
+inline constexpr auto min_cold_retry_after =
+    duration{std::chrono::milliseconds{50}};
+
 /// Delay after which a caller may retry a request that crashes replicas. Crash
 /// records expire, as the replicas' software may have been fixed since.
 inline constexpr auto poison_retry_after = duration{std::chrono::seconds{60}};
@@ -150,6 +154,10 @@
     /// they state. Returns whether it did.
     auto refuse_if_none_takes_it(time_point now) -> bool;
 
+    /// Refuses the request if it has not run and all replicas of its service
+    /// are in evacuated zones. Returns whether it did.
+    auto refuse_if_evacuated() -> bool;
+
     /// Ends the request with an error status that does not state whether it was
     /// executed.
     auto fail(int status, std::string_view why) -> void;
--- a/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
@@ -55,6 +55,10 @@
     streams_held,
     streams_yielded,
     streams_without_room,
+    zones_evacuated,
+    zones_returned,
+    replicas_turned_cold,
+    invalid_cold_times,
     count_of_counters
 };
 
--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -172,6 +172,10 @@
             give_up(refusal_reason::deadline, 504, "no time is left");
             return;
         }
+        if (exchange_.refuse_if_evacuated())
+        {
+            return;
+        }
         if (!exchange_.may_have_run() && exchange_.must_forward(now))
         {
             forward(now);
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -1,5 +1,7 @@
 #include "sapphirereel/relay/exchange.hpp"
 
+#include "sapphirereel/relay/evacuation.hpp"
+
 namespace sapphirereel::relay {
 
 exchange::exchange(
@@ -223,7 +225,8 @@
     auto const& listed = state.replicas.replicas();
     auto const count =
         std::count_if(listed.begin(), listed.end(), [this](auto const& each) {
-            return each.second.service == service && !each.second.leaving;
+            return each.second.service == service && !each.second.leaving &&
+                   !state.replicas.is_evacuated(each.second);
         });
     auto const is_lost = state.paths.record_failure(
         service, at, static_cast<std::size_t>(count), now);
@@ -289,7 +292,11 @@
     if (!closed_.ids.empty())
     {
         state.gate.record_refusal(service, granted.priority, now);
-        refuse(refusal_reason::replicas_limited);
+        auto const wait = closed_.cold_wait;
+        refuse(
+            refusal_reason::replicas_limited,
+            wait ? std::optional{std::max(*wait, min_cold_retry_after)}
+                 : std::nullopt);
         return true;
     }
     auto const wait = state.replicas.time_until_accepted(service, now);
@@ -300,6 +307,20 @@
     return wait.has_value();
 }
 
+auto exchange::refuse_if_evacuated() -> bool
+{
+    if (may_have_run() || !state.replicas.has_only_evacuated(service))
+    {
+        return false;
+    }
+    state.log.request(
+        request.id, "all replicas of the service are in evacuated zones",
+        {{"service", service},
+         {"zones", names_of(state.replicas.evacuated())}});
+    refuse(refusal_reason::zone_evacuated);
+    return true;
+}
+
 auto record_replica_state(
     relay_state& state,
     replica const& at,
@@ -326,6 +347,19 @@
              {"rejections", response.limits.rejections.value_or(0)}});
         state.limits_changed();
     }
+    if (response.has_invalid_cold)
+    {
+        state.metrics.add(relay_counter::invalid_cold_times);
+    }
+    if (response.cold &&
+        state.gate.cold().record_response(at, *response.cold, sent_at, now))
+    {
+        state.metrics.add(relay_counter::replicas_turned_cold);
+        state.log.info(
+            "replicas", "a replica says that it is cold",
+            {{"replica", at.id}, {"remaining", *response.cold}});
+        state.limits_changed();
+    }
     if (response.not_run)
     {
         state.gate.record_rejection(at.id, now);
--- a/packages/relay/src/relay_metrics.cpp
+++ b/packages/relay/src/relay_metrics.cpp
@@ -53,7 +53,11 @@
     "forwards_received",
     "streams_held",
     "streams_yielded",
-    "streams_without_room"};
+    "streams_without_room",
+    "zones_evacuated",
+    "zones_returned",
+    "replicas_turned_cold",
+    "invalid_cold_times"};
 
 constexpr auto timing_names = std::array<
     std::string_view,
