Pace of replicas: place long streams where their target pause is held

Cause: long streams were placed by load alone, so that 241 of 825 paused for longer than their target on replicas of pace 120, while replicas of pace 55 served responses of three events. A load of four figures was dropped. Change: the fourth figure is read, and usual paces pass between daemons in the paces of their reports. A stream with 16 or more events to come gets all replicas that hold its target pause as candidates, a penalty for the others, and waits for one that is about to have room while it still starts within half of its target latency. Other streams leave these replicas free. A replica in a slow period is given no prompt beside running requests. Backups need no pace. Four counters show the effect.

--- a/packages/relay/include/sapphirereel/relay/pause_estimate.hpp
+++ b/packages/relay/include/sapphirereel/relay/pause_estimate.hpp
@@ -20,13 +20,17 @@
     /// Adds the time between two consecutive events of the run.
     auto add(duration pause) -> void;
 
-    /// The longest one; none if the run had too few events to say something
-    /// about longer runs.
+    /// Excludes the run: a pause was the caller's, who reads slowly.
+    auto exclude() -> void;
+
+    /// The longest one; none if it is excluded or the run had too few events to
+    /// say something about longer runs.
     [[nodiscard]] auto longest() const -> std::optional<duration>;
 
 private:
     std::uint64_t count_ = 0;
     duration longest_{0};
+    bool is_excluded_ = false;
 };
 
 /// The longest pauses of a service's last runs, each divided by the usual pace
--- a/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
@@ -48,6 +48,10 @@
     forwards,
     forwards_failed,
     forwards_received,
+    invalid_paces,
+    paced_streams,
+    paced_streams_elsewhere,
+    pace_waits,
     count_of_counters
 };
 
--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -431,6 +431,8 @@
         report.limits =
             state_.gate.limits().entries_to_report(telemetry::monotonic_now());
         report.lost_services = state_.paths.lost_services();
+        report.paces = state_.replicas.pace().figures().entries_to_report(
+            telemetry::monotonic_now());
         cluster_sync_.fill_report(report, telemetry::monotonic_now());
         return report;
     }
@@ -442,6 +444,8 @@
         state_.crashes.apply_report(report.crashes, now);
         apply_part_reports(report.parts, now);
         apply_limits(report.limits, now);
+        state_.replicas.pace().figures().apply_report(
+            report.paces, state_.replicas.replicas(), now);
         if (cluster_sync_.apply_report(report, now))
         {
             cluster_sync_.update_reader_role(peers_.alive(now), now);
--- a/packages/relay/include/sapphirereel/relay/replica_table.hpp
+++ b/packages/relay/include/sapphirereel/relay/replica_table.hpp
@@ -6,6 +6,7 @@
 
 #include "sapphirereel/core/clock.hpp"
 #include "sapphirereel/core/identifier.hpp"
+#include "sapphirereel/relay/pace_policy.hpp"
 #include "sapphirereel/relay/routing.hpp"
 
 #include <cstdint>
@@ -62,6 +63,9 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    /// Time that work takes on the replica's machine at this moment, in percent
+    /// of the usual time, if it states that. Not checked.
+    std::optional<double> pace = std::nullopt;
     auto operator<=>(reported_load const&) const = default;
 };
 
@@ -79,6 +83,9 @@
     /// Zone of the replica that holds the run's memory, for a migration or a
     /// backup.
     std::optional<zone_name> memory_zone = std::nullopt;
+    /// Longest pause between two events that the stream should have; none
+    /// unless it is long enough to need pace.
+    std::optional<duration> target_pause = std::nullopt;
 };
 
 /// The chosen replica, and the figures behind the choice for the log.
@@ -163,6 +170,20 @@
         std::optional<engine_traits> const& engine,
         time_point now) const -> bool;
 
+    /// Whether a replica that holds the target pause of a stream is expected to
+    /// have room for it soon: it lacks at most the memory of one such run.
+    /// False for streams that do not need pace.
+    [[nodiscard]] auto is_pace_expected(
+        placement_need const& need,
+        std::optional<engine_traits> const& engine,
+        time_point now) const -> bool;
+
+    /// Paces of the replicas.
+    [[nodiscard]] auto pace() -> pace_policy&
+    {
+        return pace_;
+    }
+
     /// The replica with the lowest score; none if no replica of the service
     /// accepts work.
     auto choose(
@@ -245,6 +266,11 @@
         endpoint_id const& id, time_point now) const -> bool;
     auto candidates_for(placement_need const& need, time_point now)
         -> std::vector<replica>;
+    /// Moves the replicas that hold the target pause of a stream to the front,
+    /// if only some do. Returns the end of them.
+    [[nodiscard]] auto partition_by_pace(
+        std::vector<replica>& usable, placement_need const& need) const
+        -> std::vector<replica>::iterator;
 
     zone_name zone_;
     std::mt19937_64 generator_;
@@ -257,6 +283,7 @@
     std::map<endpoint_id, failure_count> failures_;
     std::map<endpoint_id, backoff> backoffs_;
     std::map<zone_name, timed_peer_load> zones_;
+    pace_policy pace_;
 };
 
 } // namespace sapphirereel::relay
--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -150,7 +150,20 @@
             counted_memory_tokens(size_, expected_output_, output_tokens()),
             size_.prompt,
             exchange_.excluded,
-            {}};
+            {},
+            target_pause()};
+    }
+
+    /// Longest pause that the rest of the run should have; none unless that is
+    /// long enough to need pace.
+    [[nodiscard]] auto target_pause() const -> std::optional<duration>
+    {
+        auto const traits = exchange_.engine();
+        auto const is_long = traits && needs_pace(
+                                           expected_output_ - output_tokens(),
+                                           traits->tokens_per_event);
+        return is_long ? std::optional{exchange_.granted.route->target_pause}
+                       : std::nullopt;
     }
 
     /// The same, without the replicas that state limits: a run can't be resumed
@@ -220,7 +233,8 @@
         auto const estimate = dispatch_estimate{
             waited, exchange_.granted.route->target_latency,
             pace.time_for(tokens_ahead), chosen->memory_share};
-        if (!should_dispatch(estimate))
+        if (!should_dispatch(estimate) ||
+            waits_for_pace(*chosen, estimate, now))
         {
             wait_for_capacity(waited);
             return;
@@ -244,6 +258,55 @@
         send(chosen->target, *to, std::nullopt);
     }
 
+    /// Whether the stream is held for a replica that holds its target pause.
+    auto waits_for_pace(
+        placement const& chosen,
+        dispatch_estimate const& estimate,
+        time_point now) -> bool
+    {
+        auto const target = target_pause();
+        auto const waits =
+            target && may_wait_for_pace(estimate) &&
+            !exchange_.state.replicas.pace().holds(chosen.target, *target) &&
+            exchange_.state.replicas.is_pace_expected(
+                need(), exchange_.engine(), now);
+        if (waits && !std::exchange(has_waited_for_pace_, true))
+        {
+            exchange_.state.metrics.add(relay_counter::pace_waits);
+        }
+        return waits;
+    }
+
+    /// Counts and logs where a stream that needs pace is sent, if the replicas
+    /// state theirs.
+    auto record_paced_stream(replica const& target) -> void
+    {
+        auto const longest = target_pause();
+        auto& pace = exchange_.state.replicas.pace();
+        auto const* const known = pace.figures().find(target.id);
+        if (!longest || known == nullptr)
+        {
+            return;
+        }
+        auto const holds = pace.holds(target, *longest);
+        exchange_.state.metrics.add(
+            holds ? relay_counter::paced_streams
+                  : relay_counter::paced_streams_elsewhere);
+        exchange_.state.log.request(
+            exchange_.request.id, "placed by pace",
+            {{"replica", target.id},
+             {"usual_pace", known->usual()},
+             {"holds_target", holds},
+             {"waited_for_pace", has_waited_for_pace_}});
+    }
+
+    /// Records the pauses of the run at the present replica.
+    auto record_pauses() -> void
+    {
+        exchange_.state.replicas.pace().record_run(
+            target_, std::exchange(pauses_, {}));
+    }
+
     /// Has a peer serve the request; a retry if a replica had it already.
     auto forward(time_point now) -> void
     {
@@ -311,6 +374,8 @@
     {
         auto const now = telemetry::monotonic_now();
         unregister_stream();
+        record_pauses();
+        record_paced_stream(target);
         target_ = target;
         sent_at_ = now;
         register_stream();
@@ -483,6 +548,10 @@
         {
             exchange_.state.metrics.observe(
                 relay_timing::pause, time_since_last_event(now));
+            if (!is_resuming_)
+            {
+                pauses_.add(time_since_last_event(now));
+            }
         }
         record_resumption(now);
         events_.record_forwarded(event.number, now - exchange_.started_at);
@@ -548,6 +617,7 @@
             return;
         }
         call_->pause();
+        pauses_.exclude();
         exchange_.caller->on_drained([self = this->shared_from_this()] {
             if (self->call_)
             {
@@ -831,6 +901,7 @@
         exchange_.deadline_timer.cancel();
         capacity_timer_.cancel();
         migrator_.cancel();
+        record_pauses();
         unregister_stream();
         load_.release();
         backup_.release();
@@ -971,6 +1042,8 @@
     replica target_;
     std::optional<http::response_head> head_;
     event_splitter splitter_;
+    /// Pauses of the run at the present replica.
+    run_pauses pauses_;
     std::string failure_body_;
     /// Bytes of events that the caller had received already.
     std::size_t stray_bytes_ = 0;
@@ -992,6 +1065,7 @@
     bool ended_between_events_ = false;
     bool drained_while_resuming_ = false;
     bool is_complete_ = false;
+    bool has_waited_for_pace_ = false;
 };
 
 } // namespace sapphirereel::relay
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -299,6 +299,25 @@
     return wait.has_value();
 }
 
+namespace {
+
+auto record_pace(
+    relay_state& state,
+    replica const& at,
+    reported_load const& load,
+    time_point now) -> void
+{
+    auto const is_invalid =
+        load.pace &&
+        !state.replicas.pace().figures().record_figure(at, *load.pace, now);
+    if (is_invalid)
+    {
+        state.metrics.add(relay_counter::invalid_paces);
+    }
+}
+
+} // namespace
+
 auto record_replica_state(
     relay_state& state,
     replica const& at,
@@ -315,6 +334,7 @@
     if (response.load)
     {
         state.replicas.set_reported_load(at.id, *response.load, now);
+        record_pace(state, at, *response.load, now);
     }
     if (state.gate.limits().record_response(at, response.limits, sent_at, now))
     {
--- a/packages/relay/src/pause_estimate.cpp
+++ b/packages/relay/src/pause_estimate.cpp
@@ -43,9 +43,15 @@
     longest_ = std::max(longest_, pause);
 }
 
+auto run_pauses::exclude() -> void
+{
+    is_excluded_ = true;
+}
+
 auto run_pauses::longest() const -> std::optional<duration>
 {
-    return count_ + 1 >= min_events ? std::optional{longest_} : std::nullopt;
+    auto const is_measured = !is_excluded_ && count_ + 1 >= min_events;
+    return is_measured ? std::optional{longest_} : std::nullopt;
 }
 
 auto pause_estimate::add_run(duration longest, double usual_pace) -> void
--- a/packages/relay/src/relay_metrics.cpp
+++ b/packages/relay/src/relay_metrics.cpp
@@ -46,7 +46,11 @@
     "paths_lost",
     "forwards",
     "forwards_failed",
-    "forwards_received"};
+    "forwards_received",
+    "invalid_paces",
+    "paced_streams",
+    "paced_streams_elsewhere",
+    "pace_waits"};
 
 constexpr auto timing_names = std::array<
     std::string_view,
--- a/packages/relay/src/replica_table.cpp
+++ b/packages/relay/src/replica_table.cpp
@@ -57,6 +57,10 @@
 /// other zones that have more room.
 constexpr auto max_local_candidates = std::ptrdiff_t{12};
 
+/// Least number of replicas compared besides those that hold the target pause
+/// of a stream: these may all be full.
+constexpr auto min_other_candidates = std::size_t{6};
+
 /// Requests that may be sent to a replica during its backoff, for runs that it
 /// executes already.
 constexpr auto max_sent_during_backoff = std::uint32_t{2};
@@ -131,6 +135,7 @@
     std::erase_if(backoffs_, [&](auto const& each) {
         return !replicas_.contains(each.first);
     });
+    pace_.retain(replicas_);
     return leaving;
 }
 
@@ -416,15 +421,64 @@
     auto const slot_share = (static_cast<double>(load.requests) + 1) / slots;
     auto const slot_overflow = std::max(0.0, slot_share - 1);
     auto const lags = zones_.contains(candidate.zone);
+    // A migrated run brings its prompt along.
+    auto const for_pace = pace_.penalty(
+        candidate,
+        {need.target_pause, need.prompt_tokens > 0 && !need.memory_zone,
+         load.requests > 0, overflow + slot_overflow > 0},
+        now);
     return (lags ? lagging_load_penalty : 0) + share +
            pending_prefill_weight * pending_prefill_share +
            overflow_weight * (overflow + slot_overflow) +
-           penalty(candidate, need.memory_zone, now);
+           penalty(candidate, need.memory_zone, now) + for_pace;
+}
+
+auto replica_table::is_pace_expected(
+    placement_need const& need,
+    std::optional<engine_traits> const& engine,
+    time_point now) const -> bool
+{
+    if (!engine || !need.target_pause ||
+        !pace_.is_uneven(need.service, *need.target_pause))
+    {
+        return false;
+    }
+    auto const max_share =
+        full_share + need.memory_tokens / std::max(1.0, engine->memory_tokens);
+    return std::any_of(
+        replicas_.begin(), replicas_.end(), [&](auto const& listed) {
+            auto const& [id, each] = listed;
+            return each.service == need.service && !each.leaving &&
+                   !need.excluded.contains(id) && !is_backing_off(id, now) &&
+                   pace_.holds(each, *need.target_pause) &&
+                   busy_slots(each, now) <= each.slots &&
+                   memory_share(each, need, *engine) <= max_share;
+        });
+}
+
+auto replica_table::partition_by_pace(
+    std::vector<replica>& usable, placement_need const& need) const
+    -> std::vector<replica>::iterator
+{
+    if (!need.target_pause ||
+        !pace_.is_uneven(need.service, *need.target_pause))
+    {
+        return usable.begin();
+    }
+    return std::stable_partition(
+        usable.begin(), usable.end(), [&](replica const& each) {
+            return pace_.holds(each, *need.target_pause);
+        });
 }
 
 auto replica_table::candidates_for(placement_need const& need, time_point now)
     -> std::vector<replica>
 {
+    pace_.refresh(replicas_, now);
+    if (need.target_pause)
+    {
+        pace_.record_need(need.service, *need.target_pause, now);
+    }
     auto usable = std::vector<replica>{};
     for (auto const& [id, each] : replicas_)
     {
@@ -439,18 +493,24 @@
         return usable;
     }
     std::shuffle(usable.begin(), usable.end(), generator_);
+    auto const first_other = partition_by_pace(usable, need);
+    auto const paced = static_cast<std::size_t>(first_other - usable.begin());
+    auto const others = std::max(
+        min_other_candidates, max_candidates - std::min(max_candidates, paced));
     // A migration or a backup prefers the zone of the run's memory.
     auto const near = need.memory_zone.value_or(zone_);
     auto const first_far = std::stable_partition(
-        usable.begin(), usable.end(),
+        first_other, usable.end(),
         [&](replica const& each) { return each.zone == near; });
     auto const near_count = std::min<std::ptrdiff_t>(
-        first_far - usable.begin(), max_local_candidates);
+        first_far - first_other,
+        static_cast<std::ptrdiff_t>(others) * max_local_candidates /
+            static_cast<std::ptrdiff_t>(max_candidates));
     auto compared =
-        std::vector<replica>(usable.begin(), usable.begin() + near_count);
+        std::vector<replica>(usable.begin(), first_other + near_count);
     auto const far_count = std::min<std::ptrdiff_t>(
         usable.end() - first_far,
-        static_cast<std::ptrdiff_t>(max_candidates) - near_count);
+        static_cast<std::ptrdiff_t>(others) - near_count);
     compared.insert(compared.end(), first_far, first_far + far_count);
     return compared;
 }
--- a/packages/relay/src/run_backup.cpp
+++ b/packages/relay/src/run_backup.cpp
@@ -36,6 +36,8 @@
     auto requirement = candidate.need;
     requirement.excluded.insert(candidate.source.id);
     requirement.prompt_tokens = 0;
+    // Backups take no memory of the replicas that streams need for their pace.
+    requirement.target_pause.reset();
     requirement.memory_zone = candidate.source.zone;
     auto const chosen = replicas_->choose(requirement, engine, now);
     if (!chosen || chosen->memory_share > max_memory_share_for_backup)
--- a/test/correctness/relay/long_pauses_are_estimated.cpp
+++ b/test/correctness/relay/long_pauses_are_estimated.cpp
@@ -70,6 +70,9 @@
     EXPECT_FALSE(run.longest());
     run.add(milliseconds{50});
     EXPECT_EQ(run.longest(), duration{milliseconds{50}});
+    // The caller's own pause says nothing about the replica.
+    run.exclude();
+    EXPECT_FALSE(run.longest());
 }
 
 } // namespace
