Pace of replicas: keep fast replicas free only while others start in time

Change: the penalty decreases to 0 as one prompt waits at each replica, and prompts count as much longer or shorter as the replica's usual pace is against the median of its service. Tests: 29 of the suites concerned pass; the whole of correctness_relay was not run on this commit.

--- a/packages/relay/include/sapphirereel/relay/pace_policy.hpp
+++ b/packages/relay/include/sapphirereel/relay/pace_policy.hpp
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace sapphirereel::relay {
 
@@ -27,12 +28,21 @@
 {
     /// Longest pause that the stream should have; none unless it needs pace.
     std::optional<duration> target_pause;
-    /// Whether the replica has to read a prompt first.
-    bool reads_prompt = false;
     /// Whether other requests run on the replica.
     bool is_busy = false;
     /// Whether the replica has no memory or slot left for the request.
     bool is_full = false;
+    /// Prompt tokens of the request to be read there.
+    double prompt_tokens = 0;
+    /// These and the prompts before it, as a share of the replica's memory.
+    double prompt_share = 0;
+};
+
+/// A listed replica, and the prompt tokens that wait there to be read.
+struct prompt_queue
+{
+    replica const* at = nullptr;
+    double tokens = 0;
 };
 
 /// The paces of all replicas and the pauses of their services. Nothing has an
@@ -52,9 +62,12 @@
     auto record_need(
         service_name const& of, duration target_pause, time_point now) -> void;
 
-    /// Computes the range of paces in each service, if that is due. Called
-    /// before each choice.
-    auto refresh(std::map<endpoint_id, replica> const& listed, time_point now)
+    /// Whether the ranges of paces have to be computed again before a choice.
+    [[nodiscard]] auto is_refresh_due(time_point now) const -> bool;
+
+    /// Computes the range of paces in each service from all replicas that
+    /// accept work.
+    auto refresh(std::vector<prompt_queue> const& listed, time_point now)
         -> void;
 
     /// Drops what is known of replicas that are not listed or have started
@@ -81,6 +94,8 @@
         double lowest = 0;
         double median = 0;
         double highest = 0;
+        /// Prompt tokens that wait at a replica, on average.
+        double waiting_tokens = 0;
     };
     struct recent_need
     {
@@ -97,6 +112,10 @@
         [[nodiscard]] auto is_uneven(duration target_pause) const -> bool;
         [[nodiscard]] auto must_keep_free(double usual, time_point now) const
             -> bool;
+        [[nodiscard]] auto penalty_for_others(
+            double usual, double prompt_tokens, time_point now) const -> double;
+        [[nodiscard]] auto penalty_for_need(
+            double usual, pace_situation const& given) const -> double;
     };
 
     replica_pace figures_;
--- a/packages/relay/include/sapphirereel/relay/replica_table.hpp
+++ b/packages/relay/include/sapphirereel/relay/replica_table.hpp
@@ -266,6 +266,7 @@
         endpoint_id const& id, time_point now) const -> bool;
     auto candidates_for(placement_need const& need, time_point now)
         -> std::vector<replica>;
+    auto refresh_pace(time_point now) -> void;
     /// Moves the replicas that hold the target pause of a stream to the front,
     /// if only some do. Returns the end of them.
     [[nodiscard]] auto partition_by_pace(
--- a/packages/relay/src/pace_policy.cpp
+++ b/packages/relay/src/pace_policy.cpp
@@ -3,7 +3,6 @@
 #include "sapphirereel/relay/replica_table.hpp"
 
 #include <algorithm>
-#include <vector>
 
 namespace sapphirereel::relay {
 namespace {
@@ -23,9 +22,15 @@
 constexpr auto full_penalty_probability = 0.2;
 
 /// Penalty of a replica that holds the target of streams that need pace, for
-/// others: they leave it free while others have clearly more room.
+/// others: they leave it free while others have clearly more room. It decreases
+/// to 0 as prompts queue: with one prompt waiting at each replica, short
+/// streams that all went to the slower ones would start late.
 constexpr auto keep_free_penalty = 0.4;
 
+/// Weight of prompts by which a replica reads them later than the median one of
+/// its service: that of pending prompts in its score.
+constexpr auto prompt_weight = 3.0;
+
 /// Time after a stream that needs pace during which replicas are kept free for
 /// the next.
 constexpr auto need_time = duration{std::chrono::seconds{30}};
@@ -71,23 +76,25 @@
     }
 }
 
-auto pace_policy::refresh(
-    std::map<endpoint_id, replica> const& listed, time_point now) -> void
+auto pace_policy::is_refresh_due(time_point now) const -> bool
 {
-    auto const is_due =
+    auto const is_old =
         !refreshed_at_ || now - *refreshed_at_ >= refresh_interval;
-    if (!is_due || (figures_.is_empty() && services_.empty()))
-    {
-        return;
-    }
+    return is_old && (!figures_.is_empty() || !services_.empty());
+}
+
+auto pace_policy::refresh(
+    std::vector<prompt_queue> const& listed, time_point now) -> void
+{
     refreshed_at_ = now;
     auto paces = std::map<service_name, std::vector<double>>{};
-    for (auto const& [id, each] : listed)
+    auto waiting = std::map<service_name, double>{};
+    for (auto const& each : listed)
     {
-        auto const* const known = figures_.find(id);
-        if (known != nullptr && !each.leaving)
+        if (auto const* const known = figures_.find(each.at->id))
         {
-            paces[each.service].push_back(known->usual());
+            paces[each.at->service].push_back(known->usual());
+            waiting[each.at->service] += each.tokens;
         }
     }
     for (auto& [name, each] : services_)
@@ -97,8 +104,9 @@
     for (auto& [name, each] : paces)
     {
         std::sort(each.begin(), each.end());
-        services_[name].range =
-            pace_range{each.front(), each[each.size() / 2], each.back()};
+        services_[name].range = pace_range{
+            each.front(), each[each.size() / 2], each.back(),
+            waiting[name] / static_cast<double>(each.size())};
     }
 }
 
@@ -121,6 +129,32 @@
            pauses.holds(usual, need->target_pause);
 }
 
+auto pace_policy::service_pace::penalty_for_others(
+    double usual, double prompt_tokens, time_point now) const -> double
+{
+    if (prompt_tokens <= 0 || !must_keep_free(usual, now))
+    {
+        return 0;
+    }
+    auto const prompts_before = range->waiting_tokens / prompt_tokens;
+    return keep_free_penalty * std::max(0.0, 1 - prompts_before);
+}
+
+auto pace_policy::service_pace::penalty_for_need(
+    double usual, pace_situation const& given) const -> double
+{
+    if (!is_uneven(*given.target_pause))
+    {
+        return 0;
+    }
+    auto const probability =
+        given.is_full
+            ? 1.0
+            : pauses.long_pause_probability(usual, *given.target_pause);
+    return long_pause_penalty *
+           std::min(1.0, probability / full_penalty_probability);
+}
+
 auto pace_policy::penalty(
     replica const& at, pace_situation const& given, time_point now) const
     -> double
@@ -133,25 +167,15 @@
     auto const& of = found->second;
     auto const* const known = figures_.find(at.id);
     auto const usual = known != nullptr ? known->usual() : of.range->median;
-    auto const is_slow = given.reads_prompt && given.is_busy &&
+    auto const is_slow = given.prompt_tokens > 0 && given.is_busy &&
                          known != nullptr && known->is_slow(now);
-    auto const for_period = is_slow ? slow_period_penalty : 0.0;
-    if (!given.target_pause)
-    {
-        auto const kept = given.reads_prompt && of.must_keep_free(usual, now);
-        return for_period + (kept ? keep_free_penalty : 0);
-    }
-    if (!of.is_uneven(*given.target_pause))
-    {
-        return for_period;
-    }
-    auto const probability =
-        given.is_full
-            ? 1.0
-            : of.pauses.long_pause_probability(usual, *given.target_pause);
-    return for_period +
-           long_pause_penalty *
-               std::min(1.0, probability / full_penalty_probability);
+    auto const for_prompts =
+        prompt_weight * given.prompt_share * (usual / of.range->median - 1);
+    auto const for_pauses =
+        given.target_pause
+            ? of.penalty_for_need(usual, given)
+            : of.penalty_for_others(usual, given.prompt_tokens, now);
+    return (is_slow ? slow_period_penalty : 0) + for_prompts + for_pauses;
 }
 
 auto pace_policy::is_uneven(service_name const& of, duration target_pause) const
--- a/packages/relay/src/replica_table.cpp
+++ b/packages/relay/src/replica_table.cpp
@@ -422,10 +422,13 @@
     auto const slot_overflow = std::max(0.0, slot_share - 1);
     auto const lags = zones_.contains(candidate.zone);
     // A migrated run brings its prompt along.
+    auto const prompt = need.memory_zone ? 0 : need.prompt_tokens;
+    auto const prompt_share =
+        engine.memory_tokens > 0 ? prompt / engine.memory_tokens : 0;
     auto const for_pace = pace_.penalty(
         candidate,
-        {need.target_pause, need.prompt_tokens > 0 && !need.memory_zone,
-         load.requests > 0, overflow + slot_overflow > 0},
+        {need.target_pause, load.requests > 0, overflow + slot_overflow > 0,
+         prompt, pending_prefill_share + prompt_share},
         now);
     return (lags ? lagging_load_penalty : 0) + share +
            pending_prefill_weight * pending_prefill_share +
@@ -456,6 +459,23 @@
         });
 }
 
+auto replica_table::refresh_pace(time_point now) -> void
+{
+    if (!pace_.is_refresh_due(now))
+    {
+        return;
+    }
+    auto queues = std::vector<prompt_queue>{};
+    for (auto const& [id, each] : replicas_)
+    {
+        if (!each.leaving)
+        {
+            queues.push_back({&each, load_of(id).pending_prefill_tokens});
+        }
+    }
+    pace_.refresh(queues, now);
+}
+
 auto replica_table::partition_by_pace(
     std::vector<replica>& usable, placement_need const& need) const
     -> std::vector<replica>::iterator
@@ -474,7 +494,7 @@
 auto replica_table::candidates_for(placement_need const& need, time_point now)
     -> std::vector<replica>
 {
-    pace_.refresh(replicas_, now);
+    refresh_pace(now);
     if (need.target_pause)
     {
         pace_.record_need(need.service, *need.target_pause, now);
--- a/test/correctness/relay/long_streams_go_to_fast_replicas.cpp
+++ b/test/correctness/relay/long_streams_go_to_fast_replicas.cpp
@@ -122,6 +122,22 @@
     EXPECT_EQ(count_fast(short_need(), 20, 2), 20);
 }
 
+TEST_F(pace_of_replicas, is_no_reason_to_start_short_streams_late)
+{
+    state_paces();
+    place(long_need(), 1);
+    EXPECT_EQ(count_fast(short_need(), 20, 300), 0);
+    // A prompt waits at each of the others.
+    for (auto const& each : listed)
+    {
+        if (!is_fast(std::stoi(each.id.str().substr(1))))
+        {
+            table.add(each.id, {1, 500, 480});
+        }
+    }
+    EXPECT_EQ(count_fast(short_need(), 20, 600), 20);
+}
+
 TEST_F(pace_of_replicas, that_is_not_stated_changes_nothing)
 {
     auto other = replica_table{zone_name{"z"}, 1};
