--- a/packages/relay/src/replica_table.cpp
+++ b/packages/relay/src/replica_table.cpp
@@ -453,6 +453,7 @@
             auto const& [id, each] = listed;
             return each.service == need.service && !each.leaving &&
                    !need.excluded.contains(id) && !is_backing_off(id, now) &&
+                   penalty(each, std::nullopt, now) < cooldown_penalty &&
                    pace_.holds(each, *need.target_pause) &&
                    busy_slots(each, now) <= each.slots &&
                    memory_share(each, need, *engine) <= max_share;
--- a/test/correctness/relay/long_streams_go_to_fast_replicas.cpp
+++ b/test/correctness/relay/long_streams_go_to_fast_replicas.cpp
@@ -210,6 +210,13 @@
     auto shorter = long_need();
     shorter.target_pause.reset();
     EXPECT_FALSE(table.is_pace_expected(shorter, engine, at(2)));
+    // A replica that just failed is not waited for.
+    auto failed = table;
+    for (auto const& each : listed)
+    {
+        failed.failed(each.id, at(2));
+    }
+    EXPECT_FALSE(failed.is_pace_expected(long_need(), engine, at(2)));
     for (auto const& each : listed)
     {
         table.add(each.id, {1, 1'000, 0});
