Pace of replicas: test that pauses of runs are measured

Cause: nothing tested that a stream's pauses reach the estimate of its service. Change: eight streams of ten events with a pause of 60 ms make their replica one that does not hold 50 ms.

--- a/test/correctness/relay/paces_are_known_to_all_daemons.cpp
+++ b/test/correctness/relay/paces_are_known_to_all_daemons.cpp
@@ -1,6 +1,7 @@
 // Guards against a pace that only the daemon knows which read it, against long
-// streams that go by load alone although it is known, and against reports that
-// grow by more than datagrams have room for.
+// streams that go by load alone although it is known, against pauses that are
+// not measured, and against reports that grow by more than datagrams have room
+// for.
 #include "support/relay/relay_fleet.hpp"
 
 #include <gtest/gtest.h>
@@ -81,6 +82,52 @@
         << page;
 }
 
+/// Serves streams of ten events with a pause before the last one.
+auto serve_with_pause(asio::io_context& loop) -> fake_replica::handler
+{
+    return [&loop](
+               std::shared_ptr<caller_session> const& from,
+               http::request const& request) {
+        auto fields = signed_fields(request);
+        fields.push_back({"X-Sapphirereel-Replica-Load", "1,0,4,100"});
+        from->begin_stream(200, "OK", fields);
+        for (auto event = 1; event < 10; ++event)
+        {
+            from->stream(fmt::format("id: {}\ndata: e\n\n", event));
+        }
+        auto const timer = std::make_shared<asio::steady_timer>(
+            loop, std::chrono::milliseconds{60});
+        timer->async_wait([from, timer](std::error_code) {
+            from->stream("id: 10\ndata: e\n\n");
+            from->finish_stream();
+        });
+    };
+}
+
+TEST(pauses_of_runs, decide_whether_their_replica_holds_a_target)
+{
+    auto world = relay_fixture{};
+    auto one = fake_replica{world.loop, serve_with_pause(world.loop)};
+    world.configure(1);
+    world.add("one", "engine", one);
+    ASSERT_TRUE(world.start());
+    auto const holds = [&](int target_ms) {
+        auto& replicas = world.node().state().replicas;
+        return replicas.pace().holds(
+            *replicas.find(endpoint_id{"one"}),
+            std::chrono::milliseconds{target_ms});
+    };
+    for (auto each = 0; each < 8; ++each)
+    {
+        EXPECT_TRUE(holds(50)) << each;
+        ASSERT_TRUE(world.send_request("GET", "/stream/a", short_stream));
+    }
+    // The range of paces is computed at the next choice.
+    world.send_request("GET", "/stream/a", short_stream);
+    EXPECT_FALSE(holds(50));
+    EXPECT_TRUE(holds(5'000));
+}
+
 TEST(report, grows_by_little_for_paces_and_by_nothing_without)
 {
     auto paces = replica_pace{};
