--- a/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
@@ -59,6 +59,10 @@
     zones_returned,
     replicas_turned_cold,
     invalid_cold_times,
+    invalid_paces,
+    paced_streams,
+    paced_streams_elsewhere,
+    pace_waits,
     count_of_counters
 };
 
--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -454,6 +454,8 @@
             state_.gate.cold().entries_to_report(telemetry::monotonic_now());
         report.lost_services = state_.paths.lost_services();
         report.waiting = describe_waiting();
+        report.paces = state_.replicas.pace().figures().entries_to_report(
+            telemetry::monotonic_now());
         cluster_sync_.fill_report(report, telemetry::monotonic_now());
         return report;
     }
@@ -482,6 +484,8 @@
                 daemon_id{report.ip}, report.waiting, now);
         }
         apply_cold(report.cold, now);
+        state_.replicas.pace().figures().apply_report(
+            report.paces, state_.replicas.replicas(), now);
         if (cluster_sync_.apply_report(report, now))
         {
             cluster_sync_.update_reader_role(peers_.alive(now), now);
--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -133,7 +133,20 @@
             counted_memory_tokens(size_, expected_output_, output_tokens()),
             size_.prompt,
             exchange_.excluded,
-            {}};
+            {},
+            target_pause()};
+    }
+
+    /// Longest pause that the rest of the run should have; none unless that is
+    /// long enough to need pace.
+    [[nodiscard]] auto target_pause() const -> std::optional<duration>
+    {
+        auto const traits = exchange_.engine();
+        auto const is_long = traits && needs_pace(
+                                           expected_output_ - output_tokens(),
+                                           traits->tokens_per_event);
+        return is_long ? std::optional{exchange_.granted.route->target_pause}
+                       : std::nullopt;
     }
 
     [[nodiscard]] auto unlimited_need() const -> placement_need override
@@ -215,6 +228,12 @@
             waited, exchange_.granted.route->target_latency,
             pace.time_for(tokens_ahead), chosen->memory_share,
             room_.reserved_share(now)};
+        if (waits_for_pace(*chosen, estimate, now))
+        {
+            room_.release();
+            wait_for_capacity(waited);
+            return;
+        }
         if (!should_dispatch(estimate))
         {
             room_.record_no_room(now);
@@ -242,6 +261,55 @@
         send(chosen->target, *to, std::nullopt);
     }
 
+    /// Whether the stream is held for a replica that holds its target pause.
+    auto waits_for_pace(
+        placement const& chosen,
+        dispatch_estimate const& estimate,
+        time_point now) -> bool
+    {
+        auto const target = target_pause();
+        auto const waits =
+            target && may_wait_for_pace(estimate) &&
+            !exchange_.state.replicas.pace().holds(chosen.target, *target) &&
+            exchange_.state.replicas.is_pace_expected(
+                need(), exchange_.engine(), now);
+        if (waits && !std::exchange(has_waited_for_pace_, true))
+        {
+            exchange_.state.metrics.add(relay_counter::pace_waits);
+        }
+        return waits;
+    }
+
+    /// Counts and logs where a stream that needs pace is sent, if the replicas
+    /// state theirs.
+    auto record_paced_stream(replica const& target) -> void
+    {
+        auto const longest = target_pause();
+        auto& pace = exchange_.state.replicas.pace();
+        auto const* const known = pace.figures().find(target.id);
+        if (!longest || known == nullptr)
+        {
+            return;
+        }
+        auto const holds = pace.holds(target, *longest);
+        exchange_.state.metrics.add(
+            holds ? relay_counter::paced_streams
+                  : relay_counter::paced_streams_elsewhere);
+        exchange_.state.log.request(
+            exchange_.request.id, "placed by pace",
+            {{"replica", target.id},
+             {"usual_pace", known->usual()},
+             {"holds_target", holds},
+             {"waited_for_pace", has_waited_for_pace_}});
+    }
+
+    /// Records the pauses of the run at the present replica.
+    auto record_pauses() -> void
+    {
+        exchange_.state.replicas.pace().record_run(
+            target_, std::exchange(pauses_, {}));
+    }
+
     /// Has a peer serve the request; a retry if a replica had it already.
     auto forward(time_point now) -> void
     {
@@ -340,6 +408,8 @@
     {
         auto const now = telemetry::monotonic_now();
         unregister_stream();
+        record_pauses();
+        record_paced_stream(target);
         target_ = target;
         sent_at_ = now;
         register_stream();
@@ -564,6 +634,10 @@
         {
             exchange_.state.metrics.observe(
                 relay_timing::pause, time_since_last_event(now));
+            if (!resumption_.is_resuming() && !is_sent_again_)
+            {
+                pauses_.add(time_since_last_event(now));
+            }
         }
         record_continuation(now);
         resumption_.record_event(now);
@@ -631,6 +705,7 @@
             return;
         }
         call_->pause();
+        pauses_.exclude();
         exchange_.caller->on_drained([self = this->shared_from_this()] {
             if (self->call_)
             {
@@ -797,6 +872,7 @@
         capacity_timer_.cancel();
         room_.release();
         resumption_.release();
+        record_pauses();
         unregister_stream();
         load_.release();
         exchange_.state.load_changed();
@@ -953,6 +1029,8 @@
     replica target_;
     std::optional<http::response_head> head_;
     event_splitter splitter_;
+    /// Pauses of the run at the present replica.
+    run_pauses pauses_;
     std::string failure_body_;
     /// A replica's failure of a request that was sent again.
     std::optional<http::response> fallback_;
@@ -968,6 +1046,7 @@
     bool is_signed_ = false;
     bool not_run_ = false;
     bool is_complete_ = false;
+    bool has_waited_for_pace_ = false;
 };
 
 } // namespace sapphirereel::relay
--- a/packages/relay/src/relay_metrics.cpp
+++ b/packages/relay/src/relay_metrics.cpp
@@ -57,7 +57,11 @@
     "zones_evacuated",
     "zones_returned",
     "replicas_turned_cold",
-    "invalid_cold_times"};
+    "invalid_cold_times",
+    "invalid_paces",
+    "paced_streams",
+    "paced_streams_elsewhere",
+    "pace_waits"};
 
 constexpr auto timing_names = std::array<
     std::string_view,
