Choose replicas evenly where counts are old

Cause: daemons that choose at the same moment from the same old counts take the same replica. Change: replica_table::choose draws by load_estimate where a service's replicas state their load and the daemons are more than the replicas; otherwise, and with exact counts, the lowest score wins as before. Service times are measured from responses and complete streams. The metrics page shows load_spread per service and uncertain_choices.

--- a/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
@@ -183,6 +183,7 @@
               exchange_.granted.table->configuration().version},
              {"score", chosen.score},
              {"candidates", chosen.candidates},
+             {"unseen", chosen.unseen_requests},
              {"attempt", exchange_.sends + 1},
              {"left", left}});
         head_.reset();
@@ -280,6 +281,8 @@
         exchange_.record_answer(now);
         if (is_success)
         {
+            exchange_.state.replicas.record_service_time(
+                target_.service, now - sent_at_);
             exchange_.record_output(now);
         }
         auto const may_retry =
--- a/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
@@ -5,6 +5,7 @@
 #define SAPPHIREREEL_RELAY_RELAY_METRICS_HPP
 
 #include "sapphirereel/core/clock.hpp"
+#include "sapphirereel/core/identifier.hpp"
 #include "sapphirereel/relay/request_admission.hpp"
 #include "sapphirereel/relay/session_stage.hpp"
 #include "sapphirereel/telemetry/metrics_histogram.hpp"
@@ -12,6 +13,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string>
 
 namespace sapphirereel::relay {
@@ -48,6 +50,9 @@
     forwards,
     forwards_failed,
     forwards_received,
+    /// Choices of a replica that allowed for requests which other daemons have
+    /// placed since their reports.
+    uncertain_choices,
     count_of_counters
 };
 
@@ -77,6 +82,10 @@
     auto incomplete(incomplete_session const& which) -> void;
     auto observe(relay_timing which, duration length) -> void;
 
+    /// Replaces the load of each service's busiest replica over the mean of its
+    /// replicas.
+    auto set_load_spreads(std::map<service_name, double> spreads) -> void;
+
     [[nodiscard]] auto value(relay_counter which) const -> std::uint64_t;
 
     /// All metrics in the Prometheus text format.
@@ -101,6 +110,7 @@
         telemetry::metrics_histogram,
         static_cast<std::size_t>(relay_timing::count_of_timings)>
         timings_;
+    std::map<service_name, double> load_spreads_;
 };
 
 } // namespace sapphirereel::relay
--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -612,6 +612,8 @@
                 }
                 if (request.target == "/metrics")
                 {
+                    state_.metrics.set_load_spreads(
+                        state_.replicas.load_spreads());
                     from->respond(
                         200, {{"Content-Type", "text/plain"}},
                         state_.metrics.page());
--- a/packages/relay/include/sapphirereel/relay/replica_table.hpp
+++ b/packages/relay/include/sapphirereel/relay/replica_table.hpp
@@ -6,6 +6,7 @@
 
 #include "sapphirereel/core/clock.hpp"
 #include "sapphirereel/core/identifier.hpp"
+#include "sapphirereel/relay/load_estimate.hpp"
 #include "sapphirereel/relay/routing.hpp"
 
 #include <cstdint>
@@ -95,6 +96,9 @@
     double pending_prefill_tokens = 0;
     /// Number of replicas that were compared.
     std::size_t candidates = 0;
+    /// Requests that other daemons are expected to have placed on these since
+    /// their counts; 0 if the lowest score was taken.
+    double unseen_requests = 0;
 };
 
 /// The replicas and the load on them.
@@ -134,6 +138,9 @@
     auto set_reported_load(
         endpoint_id const& id, reported_load load, time_point now) -> void;
 
+    /// Records for how long a request has occupied a replica of a service.
+    auto record_service_time(service_name const& of, duration took) -> void;
+
     /// Records a failed attempt; the replica is avoided for a cooldown that
     /// doubles with each failure in a row.
     auto failed(endpoint_id const& id, time_point now) -> void;
@@ -164,7 +171,8 @@
         time_point now) const -> bool;
 
     /// The replica with the lowest score; none if no replica of the service
-    /// accepts work.
+    /// accepts work. Where other daemons may have placed much since their
+    /// counts, one of those with low scores, drawn by `choose_evenly`.
     auto choose(
         placement_need const& need,
         std::optional<engine_traits> const& engine,
@@ -190,16 +198,26 @@
         service_name const& service, engine_traits const& engine) const
         -> double;
 
+    /// Load of each service's busiest replica over the mean of its replicas, by
+    /// the counts of all daemons; services without load are left out. The load
+    /// is the memory that streams hold, or the number of requests where none
+    /// holds any.
+    [[nodiscard]] auto load_spreads() const -> std::map<service_name, double>;
+
 private:
     struct timed_peer_load
     {
         load_report report;
         time_point at;
+        /// Requests on all replicas of the report.
+        double requests = 0;
     };
     struct timed_reported_load
     {
         reported_load load;
         time_point at;
+        /// Requests that this daemon has sent to the replica since.
+        std::uint32_t sent_since = 0;
     };
     struct failure_count
     {
@@ -217,10 +235,33 @@
     /// if that is recent and states more.
     [[nodiscard]] auto busy_slots(
         replica const& candidate, time_point now) const -> std::uint32_t;
+    /// What is known of the others' load on the replicas of a service, of which
+    /// `compared` are candidates. None where the choice need not allow for
+    /// unseen requests: if no replica states its load, if the replicas are not
+    /// fewer than the daemons, or before the first measured service time.
+    [[nodiscard]] auto others_on(
+        placement_need const& need, std::size_t compared, time_point now) const
+        -> std::optional<others_load>;
+    /// Share of the other daemons' counts that still holds at a service time.
+    [[nodiscard]] auto known_share(duration service_time, time_point now) const
+        -> double;
+    [[nodiscard]] auto counts_of(replica const& candidate, time_point now) const
+        -> replica_counts;
     /// Score by the share of slots in use; applies if `choose` is given no
     /// engine traits.
     [[nodiscard]] auto plain_score(
-        replica const& candidate, time_point now) const -> double;
+        replica const& candidate,
+        std::optional<others_load> const& others,
+        time_point now) const -> double;
+    [[nodiscard]] auto is_cooling_down(
+        endpoint_id const& id, time_point now) const -> bool;
+    /// A candidate with its limits, for a choice by `choose_evenly`.
+    [[nodiscard]] auto describe(
+        replica const& candidate,
+        double score,
+        placement_need const& need,
+        std::optional<engine_traits> const& engine,
+        time_point now) const -> scored_candidate;
     [[nodiscard]] auto memory_share(
         replica const& candidate,
         placement_need const& need,
@@ -254,6 +295,7 @@
     /// Sum of all peers' and zones' counts.
     load_report peer_total_;
     std::map<endpoint_id, timed_reported_load> reported_loads_;
+    std::map<service_name, service_time> service_times_;
     std::map<endpoint_id, failure_count> failures_;
     std::map<endpoint_id, backoff> backoffs_;
     std::map<zone_name, timed_peer_load> zones_;
--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -293,6 +293,7 @@
              {"score", chosen.score},
              {"memory_share", chosen.memory_share},
              {"candidates", chosen.candidates},
+             {"unseen", chosen.unseen_requests},
              {"prompt_tokens", size_.prompt},
              {"expected_tokens", expected_output_},
              {"attempt", exchange_.sends + 1},
@@ -850,6 +851,8 @@
     {
         is_complete_ = true;
         end(now);
+        exchange_.state.replicas.record_service_time(
+            target_.service, now - sent_at_);
         exchange_.state.metrics.add(relay_counter::answers);
         exchange_.state.metrics.observe(
             relay_timing::answer, now - exchange_.started_at);
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -269,7 +269,12 @@
 {
     closed_ = state.gate.find_closed(need, engine, granted.priority, now);
     need.excluded.insert(closed_.ids.begin(), closed_.ids.end());
-    return state.replicas.choose(need, engine, now);
+    auto chosen = state.replicas.choose(need, engine, now);
+    if (chosen && chosen->unseen_requests > 0)
+    {
+        state.metrics.add(relay_counter::uncertain_choices);
+    }
+    return chosen;
 }
 
 auto exchange::may_wait_for_open_replica(time_point now) const -> bool
--- a/packages/relay/src/relay_metrics.cpp
+++ b/packages/relay/src/relay_metrics.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 #include <string_view>
+#include <utility>
 
 namespace sapphirereel::relay {
 namespace {
@@ -46,7 +47,8 @@
     "paths_lost",
     "forwards",
     "forwards_failed",
-    "forwards_received"};
+    "forwards_received",
+    "uncertain_choices"};
 
 constexpr auto timing_names = std::array<
     std::string_view,
@@ -85,6 +87,12 @@
     timings_[static_cast<std::size_t>(which)].observe(length);
 }
 
+auto relay_metrics::set_load_spreads(std::map<service_name, double> spreads)
+    -> void
+{
+    load_spreads_ = std::move(spreads);
+}
+
 auto relay_metrics::value(relay_counter which) const -> std::uint64_t
 {
     return counters_[static_cast<std::size_t>(which)];
@@ -121,6 +129,12 @@
         text += timings_[at].lines(
             fmt::format("sapphirereel_relay_{}", timing_names[at]));
     }
+    for (auto const& [service, spread] : load_spreads_)
+    {
+        text += fmt::format(
+            "sapphirereel_relay_load_spread{{service=\"{}\"}} {:.3f}\n",
+            service.str(), spread);
+    }
     return text;
 }
 
--- a/packages/relay/src/replica_table.cpp
+++ b/packages/relay/src/replica_table.cpp
@@ -57,6 +57,13 @@
 /// other zones that have more room.
 constexpr auto max_local_candidates = std::ptrdiff_t{12};
 
+/// Time within which daemons may place streams on the same replica unseen.
+/// Daemons report each stream that they place at once; the report takes up to
+/// 1.4 ms between zones, and a daemon with a small share of a core reads it at
+/// its next turn. In the loop of many daemons over this table, 40 ms lowered or
+/// kept the spread for real delays of 5 to 60 ms, 80 ms raised it at 5 ms.
+constexpr auto placement_delay = duration{std::chrono::milliseconds{40}};
+
 /// Requests that may be sent to a replica during its backoff, for runs that it
 /// executes already.
 constexpr auto max_sent_during_backoff = std::uint32_t{2};
@@ -143,6 +150,11 @@
 auto replica_table::add(endpoint_id const& id, replica_load const& load) -> void
 {
     add_load(own_[id], load);
+    auto const reported = reported_loads_.find(id);
+    if (reported != reported_loads_.end())
+    {
+        reported->second.sent_since += load.requests;
+    }
 }
 
 auto replica_table::remove(endpoint_id const& id, replica_load const& load)
@@ -177,11 +189,13 @@
     timed_peer_load& count, load_report report, time_point now) -> void
 {
     subtract_peer_load(count);
+    auto requests = 0.0;
     for (auto const& [id, load] : report)
     {
         add_load(peer_total_[id], load);
+        requests += load.requests;
     }
-    count = {std::move(report), now};
+    count = {std::move(report), now, requests};
     expire_peers(now);
 }
 
@@ -273,6 +287,12 @@
     }
 }
 
+auto replica_table::record_service_time(service_name const& of, duration took)
+    -> void
+{
+    service_times_[of].add_sample(took);
+}
+
 auto replica_table::failed(endpoint_id const& id, time_point now) -> void
 {
     auto& count = failures_[id];
@@ -340,14 +360,46 @@
     return whole > 0 ? used / whole : 0;
 }
 
+auto replica_table::load_spreads() const -> std::map<service_name, double>
+{
+    auto memory = std::map<service_name, std::vector<double>>{};
+    auto requests = std::map<service_name, std::vector<double>>{};
+    for (auto const& [id, each] : replicas_)
+    {
+        if (!each.leaving)
+        {
+            auto const load = load_of(id);
+            memory[each.service].push_back(load.memory_tokens);
+            requests[each.service].push_back(load.requests);
+        }
+    }
+    auto spreads = std::map<service_name, double>{};
+    for (auto const& [service, counts] : requests)
+    {
+        auto const by_memory = busiest_over_mean(memory[service]);
+        auto const spread =
+            by_memory > 0 ? by_memory : busiest_over_mean(counts);
+        if (spread > 0)
+        {
+            spreads.emplace(service, spread);
+        }
+    }
+    return spreads;
+}
+
+auto replica_table::is_cooling_down(endpoint_id const& id, time_point now) const
+    -> bool
+{
+    auto const failure = failures_.find(id);
+    return failure != failures_.end() && now < failure->second.cooldown_until;
+}
+
 auto replica_table::penalty(
     replica const& candidate,
     std::optional<zone_name> const& memory_zone,
     time_point now) const -> double
 {
-    auto const failure = failures_.find(candidate.id);
-    auto const avoided =
-        failure != failures_.end() && now < failure->second.cooldown_until;
+    auto const avoided = is_cooling_down(candidate.id, now);
     auto const crosses_zones = memory_zone && *memory_zone != candidate.zone;
     return (avoided ? cooldown_penalty : 0) +
            (crosses_zones ? cross_zone_move_penalty : 0) +
@@ -368,12 +420,103 @@
     return busy;
 }
 
-auto replica_table::plain_score(replica const& candidate, time_point now) const
+auto replica_table::known_share(duration service_time, time_point now) const
     -> double
+{
+    auto known = 0.0;
+    auto whole = 0.0;
+    // A count of 0 is one of the counts too.
+    auto const add = [&](timed_peer_load const& count) {
+        auto const weight = 1 + count.requests;
+        known += weight * remaining_share(now - count.at, service_time);
+        whole += weight;
+    };
+    for (auto const& [peer, count] : peers_)
+    {
+        add(count);
+    }
+    for (auto const& [zone, count] : zones_)
+    {
+        add(count);
+    }
+    return whole > 0 ? known / whole : 1;
+}
+
+auto replica_table::others_on(
+    placement_need const& need, std::size_t compared, time_point now) const
+    -> std::optional<others_load>
+{
+    auto const measured = service_times_.find(need.service);
+    if (measured == service_times_.end() || !measured->second.mean())
+    {
+        return std::nullopt;
+    }
+    auto listed = std::size_t{0};
+    auto slots = 0.0;
+    auto requests = 0.0;
+    auto states_load = false;
+    for (auto const& [id, each] : replicas_)
+    {
+        if (each.service != need.service || each.leaving)
+        {
+            continue;
+        }
+        auto const found = peer_total_.find(id);
+        ++listed;
+        slots += std::max(1U, each.slots);
+        requests += found == peer_total_.end() ? 0 : found->second.requests;
+        states_load = states_load || reported_loads_.contains(id);
+    }
+    // A large fleet's other zones are known as sums of many daemons.
+    auto const has_many_daemons = peers_.size() >= listed || !zones_.empty();
+    if (!states_load || !has_many_daemons)
+    {
+        return std::nullopt;
+    }
+    auto const time = *measured->second.mean();
+    auto const known = known_share(time, now);
+    auto const is_reported_at_once = need.memory_tokens > 0;
+    auto const unseen_share =
+        1 - (is_reported_at_once
+                 ? std::max(known, remaining_share(placement_delay, time))
+                 : known);
+    auto const compared_share =
+        static_cast<double>(compared) / static_cast<double>(listed);
+    return others_load{
+        requests / slots, known, requests * unseen_share * compared_share,
+        time};
+}
+
+auto replica_table::counts_of(replica const& candidate, time_point now) const
+    -> replica_counts
+{
+    auto const requests_in = [&](load_report const& report) {
+        auto const found = report.find(candidate.id);
+        return found == report.end() ? 0.0 : double{1} * found->second.requests;
+    };
+    auto counts = replica_counts{
+        requests_in(own_), requests_in(peer_total_),
+        double{1} * std::max(1U, candidate.slots), std::nullopt};
+    auto const reported = reported_loads_.find(candidate.id);
+    if (reported != reported_loads_.end())
+    {
+        auto const& [load, at, sent_since] = reported->second;
+        counts.stated = {
+            double{1} * load.running + load.waiting + sent_since, now - at};
+    }
+    return counts;
+}
+
+auto replica_table::plain_score(
+    replica const& candidate,
+    std::optional<others_load> const& others,
+    time_point now) const -> double
 {
     auto const slots = std::max(1U, candidate.slots);
-    return static_cast<double>(busy_slots(candidate, now)) / slots +
-           penalty(candidate, std::nullopt, now);
+    auto const busy =
+        others ? estimated_requests(counts_of(candidate, now), *others)
+               : static_cast<double>(busy_slots(candidate, now));
+    return busy / slots + penalty(candidate, std::nullopt, now);
 }
 
 auto replica_table::has_room(
@@ -455,28 +598,62 @@
     return compared;
 }
 
+auto replica_table::describe(
+    replica const& candidate,
+    double score,
+    placement_need const& need,
+    std::optional<engine_traits> const& engine,
+    time_point now) const -> scored_candidate
+{
+    auto const is_cooling = is_cooling_down(candidate.id, now);
+    auto const slots = static_cast<double>(std::max(1U, candidate.slots));
+    if (!engine)
+    {
+        return {score, slots, is_cooling};
+    }
+    auto const cost =
+        need.memory_tokens + pending_prefill_weight * need.prompt_tokens;
+    auto const is_full =
+        memory_share(candidate, need, *engine) > full_share ||
+        static_cast<double>(load_of(candidate.id).requests) + 1 > slots;
+    return {
+        score, cost > 0 ? engine->memory_tokens / cost : slots,
+        is_cooling || is_full};
+}
+
 auto replica_table::choose(
     placement_need const& need,
     std::optional<engine_traits> const& engine,
     time_point now) -> std::optional<placement>
 {
     expire_peers(now);
-    auto best = std::optional<placement>{};
     auto tie = std::uniform_real_distribution<double>{0, tie_break_span};
     auto const candidates = candidates_for(need, now);
+    if (candidates.empty())
+    {
+        return std::nullopt;
+    }
+    auto const others = others_on(need, candidates.size(), now);
+    auto scored = std::vector<scored_candidate>{};
     for (auto const& each : candidates)
     {
         auto const score = (engine ? engine_score(each, need, *engine, now)
-                                   : plain_score(each, now)) +
+                                   : plain_score(each, others, now)) +
                            tie(generator_);
-        if (!best || score < best->score)
-        {
-            best = placement{
-                each, score, engine ? memory_share(each, need, *engine) : 0,
-                load_of(each.id).pending_prefill_tokens, candidates.size()};
-        }
+        scored.push_back(
+            others ? describe(each, score, need, engine, now)
+                   : scored_candidate{score, 1, false});
     }
-    return best;
+    auto const unseen = others ? others->unseen_requests : 0;
+    auto const at = choose_evenly(scored, unseen, generator_);
+    auto const& target = candidates[at];
+    return placement{
+        target,
+        scored[at].score,
+        engine ? memory_share(target, need, *engine) : 0,
+        load_of(target.id).pending_prefill_tokens,
+        candidates.size(),
+        unseen};
 }
 
 } // namespace sapphirereel::relay
