--- a/packages/relay/src/room_forecast.cpp
+++ b/packages/relay/src/room_forecast.cpp
@@ -18,7 +18,7 @@
 constexpr auto longest_hold_share = 0.75;
 
 /// Time over which the rate is measured, and the least time and the least
-/// number of streams that it needs. Fewer streams made the rate a matter of
+/// number of streams that it needs. With fewer, the rate depends mostly on
 /// their sizes.
 constexpr auto rate_window = duration{milliseconds{5'000}};
 constexpr auto min_rate_window = duration{milliseconds{1'000}};
