--- a/packages/relay/include/sapphirereel/relay/cold_replicas.hpp
+++ b/packages/relay/include/sapphirereel/relay/cold_replicas.hpp
@@ -62,6 +62,17 @@
     [[nodiscard]] auto rate_of_service(service_name const& name) const
         -> std::optional<double>;
 
+    /// Whether the requests that daemons place on a service's replicas are
+    /// reported at once: streams at model engines.
+    [[nodiscard]] auto reports_placements(service_name const& name) const
+        -> bool;
+
+    /// Whether no replica is known to be cold.
+    [[nodiscard]] auto is_empty() const -> bool
+    {
+        return replicas_.empty();
+    }
+
     /// The replicas that are cold.
     [[nodiscard]] auto cold_now(time_point now) const -> std::set<endpoint_id>;
 
@@ -80,6 +91,7 @@
     {
         duration warmup{0};
         double rate = 0;
+        bool is_engine = false;
     };
     /// Times at which a replica is warm, by source. The latest decides.
     struct warm_times
--- a/packages/relay/include/sapphirereel/relay/exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/exchange.hpp
@@ -32,6 +32,10 @@
 inline constexpr auto max_retry_after =
     duration{std::chrono::milliseconds{1'500}};
 
+/// Maximum Retry-After of a refusal whose wait is expected.
+inline constexpr auto max_expected_retry_after =
+    duration{std::chrono::milliseconds{5'000}};
+
 /// Delay after which a caller that a stopping daemon refused may try another.
 inline constexpr auto retry_elsewhere_after =
     duration{std::chrono::milliseconds{50}};
@@ -119,6 +123,11 @@
         refusal_reason why, std::optional<duration> retry_after = std::nullopt)
         -> void;
 
+    /// The Retry-After for a request that is expected to find room after a
+    /// wait: no shorter than the usual one, so that callers do not return while
+    /// there is no room.
+    [[nodiscard]] auto retry_after_for(duration expected_wait) -> duration;
+
     /// Records that a replica of the service has sent something, or that the
     /// attempt at a replica failed without that.
     auto record_path_response() -> void;
--- a/packages/relay/include/sapphirereel/relay/forwarded_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/forwarded_exchange.hpp
@@ -46,6 +46,8 @@
         , events_(exchange_.request.last_event)
     {
         exchange_.service = from.service;
+        // A replica may have run the request, so that no refusal may follow.
+        exchange_.runs = from.runs;
         // The peer counts the request.
         exchange_.withdraw_from_budget();
     }
@@ -299,7 +301,7 @@
         auto const is_peers_refusal = head_->status == 503 &&
                                       !answer.is_signed &&
                                       (!has_begun_ || may_resume());
-        if (is_peers_refusal && tried_.size() < max_forwards)
+        if (is_peers_refusal)
         {
             exchange_.state.log.request(
                 exchange_.request.id, "refused by a peer",
--- a/packages/relay/include/sapphirereel/relay/held_streams.hpp
+++ b/packages/relay/include/sapphirereel/relay/held_streams.hpp
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace sapphirereel::relay {
@@ -20,10 +21,10 @@
 /// Most entries about waiting requests in one report.
 inline constexpr auto max_waiting_entries = std::size_t{8};
 
-/// Age above which a peer's entries are ignored: a little more than the 730 ms
-/// between the regular reports of a fleet of 73 daemons.
+/// Age above which a peer's entries are ignored. In a zone of 100 daemons
+/// regular reports are 1,000 ms apart, and a weak daemon sends them late.
 inline constexpr auto max_waiting_age =
-    duration{std::chrono::milliseconds{1'000}};
+    duration{std::chrono::milliseconds{1'500}};
 
 /// Longest time for which a stream yields to more urgent ones, as a share of
 /// its target latency, so that it can still start in time.
@@ -91,8 +92,11 @@
     /// Memory, in tokens, that is needed before this stream gets its room: by
     /// the streams that come before it here, by this daemon's part of the more
     /// urgent ones at peers, and by itself.
+    /// `own` is its own entry, which is not counted again.
     [[nodiscard]] auto tokens_until(
-        held_stream const& stream, time_point now) const -> double;
+        held_stream const& stream,
+        time_point now,
+        std::optional<hold_id> own = std::nullopt) const -> double;
 
     /// The entries for this daemon's reports, the most urgent first, at most
     /// `max_waiting_entries`. Services for which `is_reported` is false are
--- a/packages/relay/include/sapphirereel/relay/peer_gossip.hpp
+++ b/packages/relay/include/sapphirereel/relay/peer_gossip.hpp
@@ -87,6 +87,12 @@
         return peers_.alive(now);
     }
 
+    /// Share of the known daemons that this one hears.
+    [[nodiscard]] auto reachable_share(time_point now) const -> double
+    {
+        return peers_.reachable_share(now);
+    }
+
     /// Upper bound on the number of running daemons, this one included.
     [[nodiscard]] auto max_daemons() const -> std::size_t
     {
--- a/packages/relay/include/sapphirereel/relay/peer_table.hpp
+++ b/packages/relay/include/sapphirereel/relay/peer_table.hpp
@@ -50,6 +50,10 @@
     /// the last case only the addresses that it lists are added.
     auto apply_report(peer_report const& report, time_point now) -> bool;
 
+    /// Share of the daemons among which reports go round that this one hears,
+    /// itself included.
+    [[nodiscard]] auto reachable_share(time_point now) const -> double;
+
     /// Whether the fleet is so large that daemons report to their zone only.
     [[nodiscard]] auto is_zoned() const -> bool
     {
--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -705,6 +705,7 @@
         note_configuration(now);
         state_.crashes.expire(now);
         state_.gate.expire(now);
+        state_.gate.set_reachable_share(peers_.reachable_share(now));
         state_.paths.expire(now);
         for (auto const& service : state_.paths.due_trials(now))
         {
--- a/packages/relay/include/sapphirereel/relay/send_gate.hpp
+++ b/packages/relay/include/sapphirereel/relay/send_gate.hpp
@@ -54,6 +54,10 @@
     /// this daemon differs from others.
     auto set_cold_bounds(cold_bounds const& bounds, std::string self) -> void;
 
+    /// Sets the share of the known daemons that this one hears, itself
+    /// included.
+    auto set_reachable_share(double share) -> void;
+
     /// The replicas of a service that a request may not be sent to, because
     /// they take no more now. Asks for a permit for one of them, unless one is
     /// held or awaited.
@@ -124,6 +128,10 @@
     auto issue_cold(
         permit_request const& asked, double rate, double share, time_point now)
         -> duration;
+    /// Whether a cold replica may be sent a request without a permit: few
+    /// requests run there by the counts of all daemons.
+    [[nodiscard]] auto is_cold_but_idle(
+        endpoint_id const& id, time_point now) const -> bool;
     /// Sets the time until one of the closed replicas that are cold may open.
     auto set_cold_wait(closed_replicas& closed, time_point now) const -> void;
     /// Asks for a permit for the replica that was asked for least recently.
@@ -138,6 +146,7 @@
     limit_registry limits_;
     cold_replicas cold_;
     cold_bounds cold_bounds_;
+    double reachable_share_ = 1;
     std::string self_;
     permit_issuer issuer_;
     permit_holder permits_;
--- a/packages/relay/include/sapphirereel/relay/stated_limits.hpp
+++ b/packages/relay/include/sapphirereel/relay/stated_limits.hpp
@@ -73,6 +73,12 @@
     /// What a replica states; empty if it states nothing.
     [[nodiscard]] auto limits_of(endpoint_id const& id) const -> stated_limits;
 
+    /// Whether nothing is known of any replica.
+    [[nodiscard]] auto is_empty() const -> bool
+    {
+        return entries_.empty();
+    }
+
     /// The replicas that state something.
     [[nodiscard]] auto limited_replicas() const -> std::set<endpoint_id>;
 
--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -172,7 +172,8 @@
 
     auto attempt() -> void
     {
-        awaits_capacity_ = false;
+        // The attempt takes the place of one that a timer has scheduled.
+        ++capacity_wait_;
         if (exchange_.is_poisoned())
         {
             auto const outcome = outcome_of(interruption::poison);
@@ -187,6 +188,7 @@
         }
         if (exchange_.refuse_if_evacuated())
         {
+            room_.release();
             return;
         }
         if (!exchange_.may_have_run() && exchange_.must_forward(now))
@@ -216,7 +218,11 @@
             {
                 forward(now);
             }
-            else if (!exchange_.refuse_if_none_takes_it(now))
+            else if (exchange_.refuse_if_none_takes_it(now))
+            {
+                room_.release();
+            }
+            else
             {
                 give_up(refusal_reason::no_replica, 502, "no replica is left");
             }
@@ -268,8 +274,9 @@
         time_point now) -> bool
     {
         auto const target = target_pause();
+        // A caller that has received events leaves at the first long pause.
         auto const waits =
-            target && may_wait_for_pace(estimate) &&
+            target && !events_.has_begun() && may_wait_for_pace(estimate) &&
             !exchange_.state.replicas.pace().holds(chosen.target, *target) &&
             exchange_.state.replicas.is_pace_expected(
                 need(), exchange_.engine(), now);
@@ -361,15 +368,15 @@
             return;
         }
         auto spread = std::uniform_real_distribution<double>{0.6, 1.4};
-        awaits_capacity_ = true;
+        auto const number = ++capacity_wait_;
         capacity_timer_.expires_after(std::chrono::duration_cast<duration>(
             capacity_poll_interval * spread(exchange_.state.random)));
         capacity_timer_.async_wait(
-            [self = this->shared_from_this()](std::error_code error) {
+            [self = this->shared_from_this(), number](std::error_code error) {
                 // An attempt in another stream's turn may have sent the request
                 // while this handler was queued; it must not be sent twice.
                 if (!error && !self->exchange_.finished &&
-                    std::exchange(self->awaits_capacity_, false) &&
+                    number == self->capacity_wait_ &&
                     !self->room_.attempt_in_order(telemetry::monotonic_now()))
                 {
                     self->attempt();
@@ -964,7 +971,11 @@
         }
         else
         {
-            exchange_.refuse(why, retry_after);
+            exchange_.refuse(
+                why,
+                retry_after
+                    ? std::optional{exchange_.retry_after_for(*retry_after)}
+                    : std::nullopt);
         }
     }
 
@@ -1027,7 +1038,8 @@
     double expected_output_;
     room_wait room_;
     /// Whether the stream waits to be attempted again.
-    bool awaits_capacity_ = false;
+    /// Number of the attempt that the capacity timer has scheduled last.
+    std::uint64_t capacity_wait_ = 0;
     std::shared_ptr<upstream_call> call_;
     replica target_;
     std::optional<http::response_head> head_;
--- a/packages/relay/include/sapphirereel/relay/stream_resumption.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_resumption.hpp
@@ -310,7 +310,7 @@
 
     auto migration_failed(migration_failure how) -> void
     {
-        if (how == migration_failure::while_running || !source_ended_)
+        if (!source_ended_)
         {
             return;
         }
--- a/packages/relay/src/cold_replicas.cpp
+++ b/packages/relay/src/cold_replicas.cpp
@@ -42,7 +42,8 @@
     {
         if (each.cold_rate > 0)
         {
-            services_[each.name] = {each.warmup, each.cold_rate};
+            services_[each.name] = {
+                each.warmup, each.cold_rate, each.engine.has_value()};
         }
     }
 }
@@ -165,6 +166,12 @@
     return is_cold ? rate_of_service(found->second.service) : std::nullopt;
 }
 
+auto cold_replicas::reports_placements(service_name const& name) const -> bool
+{
+    auto const terms = services_.find(name);
+    return terms != services_.end() && terms->second.is_engine;
+}
+
 auto cold_replicas::cold_now(time_point now) const -> std::set<endpoint_id>
 {
     auto cold = std::set<endpoint_id>{};
--- a/packages/relay/src/configuration_review.cpp
+++ b/packages/relay/src/configuration_review.cpp
@@ -165,6 +165,13 @@
                 milliseconds_of(each.timeout)),
             "raise the timeout or lower the target");
     }
+    if (each.may_resume && each.max_attempts == 1)
+    {
+        found.warning(
+            entry_of(each),
+            "its streams may resume, but 1 attempt leaves none to resume with",
+            "allow 2 attempts or more");
+    }
     if (each.kind == request_kind::at_most_once && each.max_attempts > 1)
     {
         found.warning(
@@ -244,6 +251,17 @@
                 entry, "no route sends requests to it",
                 "remove it or name it in a route");
         }
+        if (each.cold_rate < 0 ||
+            (each.cold_rate > 0) != (each.warmup > duration{0}))
+        {
+            found.warning(
+                entry,
+                fmt::format(
+                    "a rate of {} requests per second for cold replicas and a "
+                    "warm-up of {} ms limit nothing together",
+                    each.cold_rate, milliseconds_of(each.warmup)),
+                "set both above 0, or both to 0");
+        }
         auto const has_memory = !each.engine || each.engine->memory_tokens > 0;
         if (streamed.contains(each.name) && !has_memory)
         {
@@ -363,6 +381,7 @@
     compare(fields, "priority", before.priority, after.priority);
     compare(fields, "attempts", before.max_attempts, after.max_attempts);
     compare(fields, "needs no key", before.needs_no_key, after.needs_no_key);
+    compare(fields, "streams may resume", before.may_resume, after.may_resume);
     return fields;
 }
 
@@ -372,6 +391,11 @@
     auto fields = std::vector<std::string>{};
     compare(
         fields, "connections", before.max_connections, after.max_connections);
+    compare(
+        fields, "warm-up ms", milliseconds_of(before.warmup),
+        milliseconds_of(after.warmup));
+    compare(
+        fields, "cold requests per second", before.cold_rate, after.cold_rate);
     if (before.engine != after.engine)
     {
         fields.emplace_back("engine: traits differ");
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -214,6 +214,13 @@
         max_retry_after, std::chrono::duration_cast<duration>(base * jitter));
 }
 
+auto exchange::retry_after_for(duration expected_wait) -> duration
+{
+    return std::clamp(
+        expected_wait, default_retry_after(refusal_reason::overload),
+        max_expected_retry_after);
+}
+
 auto exchange::record_path_response() -> void
 {
     state.paths.record_response(service);
--- a/packages/relay/src/held_streams.cpp
+++ b/packages/relay/src/held_streams.cpp
@@ -129,13 +129,15 @@
     });
 }
 
-auto held_streams::tokens_until(held_stream const& stream, time_point now) const
+auto held_streams::tokens_until(
+    held_stream const& stream, time_point now, std::optional<hold_id> own) const
     -> double
 {
     auto tokens = stream.tokens;
     for (auto const& [id, each] : held_)
     {
-        auto const counts = each.stream.service == stream.service &&
+        auto const counts = id != own &&
+                            each.stream.service == stream.service &&
                             is_attempted_before(each.stream, stream);
         tokens += counts ? each.stream.tokens : 0;
     }
--- a/packages/relay/src/peer_table.cpp
+++ b/packages/relay/src/peer_table.cpp
@@ -215,13 +215,18 @@
     {
         return 0;
     }
+    auto const zones = is_zoned() ? zones_of_others().size() + 1 : 1;
+    return reachable_share(now) / static_cast<double>(zones);
+}
+
+auto peer_table::reachable_share(time_point now) const -> double
+{
     auto const alive_members =
         1 + std::count_if(peers_.begin(), peers_.end(), [&](auto const& each) {
             return is_permit_member(each.second) && is_alive(each.second, now);
         });
-    auto const zones = is_zoned() ? zones_of_others().size() + 1 : 1;
     return static_cast<double>(alive_members) /
-           static_cast<double>(mesh_size()) / static_cast<double>(zones);
+           static_cast<double>(mesh_size());
 }
 
 auto peer_table::is_permit_member(peer const& which) const -> bool
--- a/packages/relay/src/replica_pace.cpp
+++ b/packages/relay/src/replica_pace.cpp
@@ -148,11 +148,8 @@
         {
             continue;
         }
-        if (!is_news)
-        {
-            ++rotated;
-            rotated_to_ = id;
-        }
+        rotated += is_news ? 0 : 1;
+        rotated_to_ = id;
         reported.push_back({id, known.started_at_ms, *known.own.value()});
         if (reported.size() >= max_reported_entries)
         {
--- a/packages/relay/src/replica_table.cpp
+++ b/packages/relay/src/replica_table.cpp
@@ -402,7 +402,7 @@
     auto requests = std::map<service_name, std::vector<double>>{};
     for (auto const& [id, each] : replicas_)
     {
-        if (!each.leaving)
+        if (!each.leaving && !is_evacuated(each))
         {
             auto const load = load_of(id);
             memory[each.service].push_back(load.memory_tokens);
@@ -493,7 +493,7 @@
     auto states_load = false;
     for (auto const& [id, each] : replicas_)
     {
-        if (each.service != need.service || each.leaving)
+        if (each.service != need.service || each.leaving || is_evacuated(each))
         {
             continue;
         }
--- a/packages/relay/src/room_forecast.cpp
+++ b/packages/relay/src/room_forecast.cpp
@@ -100,6 +100,10 @@
         return std::nullopt;
     }
     auto const& period = found->second;
+    if (now - period.last_full_at > max_full_gap)
+    {
+        return std::nullopt;
+    }
     auto const measured = std::min(rate_window, now - period.began_at);
     auto found_tokens = 0.0;
     auto streams = std::ptrdiff_t{0};
--- a/packages/relay/src/room_wait.cpp
+++ b/packages/relay/src/room_wait.cpp
@@ -96,7 +96,8 @@
     auto const replicas =
         std::count_if(listed.begin(), listed.end(), [this](auto const& each) {
             return each.second.service == exchange_->service &&
-                   !each.second.leaving;
+                   !each.second.leaving &&
+                   !exchange_->state.replicas.is_evacuated(each.second);
         });
     return state.room.reserved_share(
         exchange_->service, exchange_->granted.priority,
@@ -165,7 +166,7 @@
     }
     auto const& state = exchange_->state;
     return state.room_found.expected_wait(
-        exchange_->service, state.held.tokens_until(stream(), now), now);
+        exchange_->service, state.held.tokens_until(stream(), now, hold_), now);
 }
 
 auto room_wait::futile_wait(time_point now) const -> std::optional<duration>
--- a/packages/relay/src/send_gate.cpp
+++ b/packages/relay/src/send_gate.cpp
@@ -24,6 +24,12 @@
 /// home of a cold replica: both soon agree on which daemons are alive.
 constexpr auto wait_for_other_home = duration{std::chrono::milliseconds{50}};
 
+/// Part of the slack of a cold replica's bound up to which requests may run
+/// there without a permit. Together with the permits they stay within the
+/// bound, as a stream takes some 0.3 s or more, and permits leave a part of it
+/// unused.
+constexpr auto idle_share_of_slack = 0.5;
+
 /// Difference of rates that are equal, after rounding.
 constexpr auto rate_tolerance = 1e-6;
 
@@ -45,6 +51,25 @@
     self_ = std::move(self);
 }
 
+auto send_gate::set_reachable_share(double share) -> void
+{
+    reachable_share_ = share;
+}
+
+auto send_gate::is_cold_but_idle(endpoint_id const& id, time_point now) const
+    -> bool
+{
+    auto const* const listed = replicas_->find(id);
+    if (listed == nullptr || limits_.limits_of(id).rate ||
+        !cold_.reports_placements(listed->service) || !cold_.rate_of(id, now))
+    {
+        return false;
+    }
+    auto const allowance =
+        std::floor(cold_bounds_.slack * idle_share_of_slack * reachable_share_);
+    return replicas_->load_of(id).requests + 1 <= allowance;
+}
+
 auto send_gate::rate_of(endpoint_id const& id, time_point now) const
     -> std::optional<double>
 {
@@ -60,6 +85,10 @@
     time_point now) -> closed_replicas
 {
     auto closed = closed_replicas{};
+    if (limits_.is_empty() && cold_.is_empty())
+    {
+        return closed;
+    }
     auto limited = std::vector<endpoint_id>{};
     auto all = limits_.limited_replicas();
     all.merge(cold_.cold_now(now));
@@ -86,7 +115,7 @@
         }
     }
     auto const holds = [&](endpoint_id const& id) {
-        return permits_.holds(id, now);
+        return permits_.holds(id, now) || is_cold_but_idle(id, now);
     };
     auto const must_yield = yields(need.service, priority, now);
     if (!must_yield && std::none_of(limited.begin(), limited.end(), holds))
@@ -169,7 +198,8 @@
 auto send_gate::take(endpoint_id const& id, permit_use use, time_point now)
     -> permission
 {
-    if (!rate_of(id, now) || permits_.take(id, now))
+    if (!rate_of(id, now) || is_cold_but_idle(id, now) ||
+        permits_.take(id, now))
     {
         return permission::granted;
     }
--- a/test/correctness/deployment/configurations_are_checked_before_publication.cpp
+++ b/test/correctness/deployment/configurations_are_checked_before_publication.cpp
@@ -86,6 +86,26 @@
     EXPECT_THAT(report.text, Not(HasSubstr("secret-key")));
 }
 
+TEST(configuration_check, shows_changes_of_resumption_and_of_cold_replicas)
+{
+    auto const stream = [](std::string const& more) {
+        return R"({"version":)" + more +
+               R"(,"routes":[{"name":"s","host":"h","path-prefix":"/s/",)"
+               R"("kind":"streaming","service":"m","max-attempts":2,)"
+               R"("stream-resume":)";
+    };
+    auto const before = stream("2") + R"(false}],"services":[{"name":"m",)"
+                                      R"("warmup-s":1,"cold-per-s":30}]})";
+    auto const after = stream("3") + R"(true}],"services":[{"name":"m",)"
+                                     R"("warmup-s":0,"cold-per-s":30}]})";
+    auto const report = check_configuration(
+        {"new.json", after}, named_text{"old.json", before});
+    EXPECT_TRUE(report.is_usable) << report.text;
+    EXPECT_THAT(report.text, HasSubstr("streams may resume: false -> true"));
+    EXPECT_THAT(report.text, HasSubstr("warm-up ms: 1000 -> 0"));
+    EXPECT_THAT(report.text, HasSubstr("limit nothing together"));
+}
+
 TEST(configuration_check, refuses_a_version_that_daemons_ignore)
 {
     auto const text = configuration(2, good);
