Soak: resumable streams, evacuated zones, cold replicas, pace

Cause: the soak did not exercise these parts, so that their guarantees were tested without real daemons under faults.

Change: - Replicas cut streams between or within events, and sometimes ignore a position. Callers reconnect with their position to any daemon. Each response has to contain the events after it once and in order, all of them if it ended complete, after three runs at most. A position on a route without the flag has no effect. - A fault evacuates a zone. Its replicas get no request later than 5 s after the order, not counting the time that the store was disturbed. - New replicas are cold, replicas turn cold, and those of a returned zone are cold: they get at most 8 requests in any second at a rate of 2. - Replicas state their load with a pace that varies. A replica keeps its start time when its state changes. - 40 callers instead of 20: 20 do not exceed the rate of a cold replica.

A daemon that starts after a zone's return learns from peers that its replicas are cold, and forgets it at the first response that states 0 ms. This is not mended here.

--- a/test/correctness/soak/promises_test.py
+++ b/test/correctness/soak/promises_test.py
@@ -9,7 +9,7 @@
 
 import promises  # noqa: E402
 from callers import Outcome  # noqa: E402
-from replicas import Run  # noqa: E402
+from replicas import Replica, Run  # noqa: E402
 
 
 def outcome(kind="unsafe", status=200, whole=True, body=b"answer", signature="i.r"):
@@ -60,6 +60,54 @@
         twice = outcome(kind="stream", body=whole[:20] + whole[:20], whole=False)
         self.assertTrue(found(promises.wrong_answers, twice, [run()]))
 
+    def test_resumed_streams_have_each_event_once(self):
+        def resumed(body, whole=True):
+            got = outcome(kind="resume", body=body, whole=whole)
+            got.after = 10
+            return got
+
+        rest = promises.whole_stream("r", 10)
+        self.assertFalse(found(promises.wrong_answers, resumed(rest), [run()]))
+        cut = resumed(rest[:50], whole=False)
+        self.assertFalse(found(promises.wrong_answers, cut, [run()]))
+        again = resumed(promises.whole_stream("r"))
+        self.assertTrue(found(promises.wrong_answers, again, [run()]))
+        missing = resumed(promises.whole_stream("r", 11))
+        self.assertTrue(found(promises.wrong_answers, missing, [run()]))
+        joined = resumed(rest[:9] + rest, whole=False)
+        self.assertTrue(found(promises.wrong_answers, joined, [run()]))
+        self.assertFalse(found(promises.runs_too_often, cut, [run()] * 3))
+        self.assertTrue(found(promises.runs_too_often, cut, [run()] * 4))
+
+    def test_evacuated_zones_get_nothing_after_the_bound(self):
+        order = promises.Evacuation("z", since=100.0, until=110.0)
+
+        def late(at, outages=()):
+            replica = Replica("plain", "z", {})
+            replica.arrivals = [at]
+            return list(promises.reached_evacuated([replica], [order], outages))
+
+        self.assertFalse(late(104.9))
+        self.assertTrue(late(105.1))
+        self.assertFalse(late(110.1))
+        # Outages count once where they overlap.
+        outages = [(99.0, 102.0), (101.0, 103.0)]
+        self.assertFalse(late(107.9, outages))
+        self.assertTrue(late(108.1, outages))
+
+    def test_cold_replicas_get_few_requests_in_any_second(self):
+        def too_many(arrivals):
+            replica = Replica("plain", "z", {})
+            replica.cold_spans = [(100.0, 104.0)]
+            replica.arrivals = arrivals
+            return list(promises.too_many_while_cold([replica]))
+
+        most = promises.MOST_PER_COLD_SECOND
+        burst = [101.5 + 0.01 * at for at in range(most + 1)]
+        self.assertFalse(too_many(burst[:most]))
+        self.assertTrue(too_many(burst))
+        self.assertFalse(too_many([at + 10 for at in burst]))
+
     def test_customers_are_set_by_the_system(self):
         customers = {"key": "c"}
         self.assertFalse(
--- a/tools/soak.d/callers.py
+++ b/tools/soak.d/callers.py
@@ -10,6 +10,7 @@
 
 ADDRESS_LIFE_S = 2.0
 PATIENCE_S = 6.0
+MOST_RECONNECTS = 3
 
 
 @dataclass
@@ -27,17 +28,29 @@
     body: bytes = b""
     # Whether the answer ended as its framing says.
     whole: bool = False
+    # The number of the last event that the caller had received before.
+    after: int = 0
 
+    @property
+    def position(self):
+        """The number of the last whole event received so far."""
+        return self.after + self.body.count(b"\n\n")
 
-async def ask(daemon, kind, key, request_id, target=None):
+
+async def ask(daemon, kind, key, request_id, target=None, after=0):
     """One attempt at one daemon."""
-    got = Outcome(request_id, kind, key, daemon, time.monotonic())
+    got = Outcome(request_id, kind, key, daemon, time.monotonic(), after=after)
     fields = {
         "Host": "h", "X-Sapphirereel-Request-Id": request_id,
         "X-Sapphirereel-Credential": key,
         "X-Sapphirereel-Deadline-Ms": int(PATIENCE_S * 1_000),
         "X-Sapphirereel-Tenant": "forged", "X-Sapphirereel-Token-Count": "200,30",
     }
+    if after:
+        fields["Last-Event-Id"] = after
+    elif kind == "stream":
+        # Has no effect on a route whose streams do not resume.
+        fields["Last-Event-Id"] = 7
     writer = None
     try:
         async with asyncio.timeout(PATIENCE_S + 1):
@@ -78,17 +91,27 @@
         while time.monotonic() < until:
             await self._refresh()
             count += 1
-            kind = self._random.choice(["safe", "unsafe", "unsafe", "stream"])
+            kind = self._random.choice(
+                ["safe", "unsafe", "unsafe", "stream", "resume"]
+            )
             if self._addresses:
-                self.outcomes.append(
-                    await ask(
-                        self._random.choice(self._addresses), kind,
-                        self._random.choice(self._keys),
-                        f"c{self._number}-{count}",
-                    )
-                )
+                await self._send(kind, f"c{self._number}-{count}")
             await asyncio.sleep(self._random.uniform(0.01, 0.12))
 
+    async def _send(self, kind, request_id):
+        """One request; a stream that may resume is continued after a cut."""
+        key = self._random.choice(self._keys)
+        after = 0
+        for attempt in range(1 + MOST_RECONNECTS):
+            got = await ask(
+                self._random.choice(self._addresses), kind, key,
+                f"{request_id}-{attempt}", after=after,
+            )
+            self.outcomes.append(got)
+            if kind != "resume" or got.whole or got.status not in (0, 200):
+                return
+            after = got.position
+
     async def _refresh(self):
         if time.monotonic() - self._asked_at < ADDRESS_LIFE_S:
             return
--- a/tools/soak.d/promises.py
+++ b/tools/soak.d/promises.py
@@ -1,20 +1,53 @@
 """The promises that are checked, from what callers and replicas saw."""
 
+import math
+from dataclasses import dataclass
+
 import replicas as serving
 
 # Bounds of this deployment, in seconds.
 CONFIGURATION_BOUND_S = 9.0
 DRAIN_BOUND_S = 5.0
 RECOVERY_BOUND_S = 12.0
+EVACUATION_BOUND_S = 5.0
+MOST_PER_COLD_SECOND = int(serving.COLD_PER_S * 1.5 + 5)
 LEAST_SHARE_SERVED_AT_REST = 0.95
 
 NOT_RUN = (408, 421, 429, 503)
-MOST_SAFE_RUNS = 2
+MOST_RUNS = {"safe": 2, "resume": 3}
+
+
+@dataclass
+class Evacuation:
+    """A zone out of service, from and until the store accepted the records."""
+
+    zone: str
+    since: float
+    until: float = math.inf
+
+    def is_open(self):
+        return self.until == math.inf
+
+    def is_in_force(self, at, outages):
+        """Whether the bound has passed, not counting the time of outages."""
+        known_for = at - self.since - time_within(outages, self.since, at)
+        return at <= self.until and known_for > EVACUATION_BOUND_S
+
+
+def time_within(spans, since, until):
+    """The part of a time that lies within any of the spans."""
+    total = 0.0
+    for start, end in sorted(spans):
+        start, end = max(start, since), min(end, until)
+        if end > start:
+            total += end - start
+            since = end
+    return total
 
 
-def whole_stream(request_id):
+def whole_stream(request_id, after=0):
     events = []
-    for number in range(1, serving.EVENTS + 1):
+    for number in range(after + 1, serving.EVENTS + 1):
         last = " last" if number == serving.EVENTS else ""
         events.append(f"id: {number}\ndata: {request_id}{last}\n\n")
     return "".join(events).encode()
@@ -22,7 +55,7 @@
 
 def runs_too_often(outcomes, ledger):
     for got in outcomes:
-        most = MOST_SAFE_RUNS if got.kind == "safe" else 1
+        most = MOST_RUNS.get(got.kind, 1)
         runs = ledger.get(got.id, [])
         if len(runs) > most:
             where = ", ".join(run.replica for run in runs)
@@ -36,18 +69,27 @@
             yield f"{got.kind} {got.id} got {got.status} of {got.daemon} and ran"
 
 
+def gave_status(runs, got):
+    """A resumed stream keeps its first run's head; others have the last one's."""
+    heads = runs if got.kind == "resume" else runs[-1:]
+    return any(run.status in (got.status, 0) for run in heads)
+
+
 def wrong_answers(outcomes, ledger):
     for got in outcomes:
         runs = ledger.get(got.id, [])
         signed = [run for run in runs if got.signature == f"{run.replica}.{got.id}"]
         if got.status == 200 and not signed:
             yield f"{got.kind} {got.id} got a success that no replica signed"
-        elif got.signature and signed and signed[-1].status not in (got.status, 0):
+        elif got.signature and signed and not gave_status(signed, got):
             yield f"{got.kind} {got.id} got {got.status}, its replica gave another"
-        elif got.status == 200 and got.kind == "stream":
-            wanted = whole_stream(got.id)
+        elif got.status == 200 and got.kind in ("stream", "resume"):
+            wanted = whole_stream(got.id, got.after)
             if got.body != wanted[: len(got.body)] or (got.whole and got.body != wanted):
-                yield f"stream {got.id} is not in order, or looks complete and is not"
+                yield (
+                    f"{got.kind} {got.id} after {got.after} of {got.daemon} is not "
+                    f"in order, or looks complete and is not: {got.body[-60:]}"
+                )
         elif got.status == 200 and got.whole and got.body != signed[-1].body:
             yield f"{got.kind} {got.id} got another body than its replica gave"
 
@@ -74,6 +116,31 @@
                 yield f"{replica.id} got a request {late:.1f} s after it began to leave"
 
 
+def reached_evacuated(replicas, evacuations, outages):
+    for order in evacuations:
+        for replica in replicas:
+            for at in replica.arrivals if replica.zone == order.zone else ():
+                if order.is_in_force(at, outages):
+                    late = at - order.since
+                    yield (
+                        f"{replica.id} got a request {late:.1f} s after the "
+                        f"evacuation of {order.zone}"
+                    )
+
+
+def too_many_while_cold(replicas):
+    for replica in replicas:
+        for start, end in replica.cold_spans:
+            came = [at for at in replica.arrivals if start <= at <= end]
+            for first, beyond in zip(came, came[MOST_PER_COLD_SECOND:]):
+                if beyond - first < 1:
+                    yield (
+                        f"{replica.id} got more than {MOST_PER_COLD_SECOND} requests "
+                        f"in a second, {first - start:.1f} s after it became cold"
+                    )
+                    break
+
+
 def ended_unasked(daemons):
     for daemon in daemons:
         if daemon.ended() and not daemon.may_end:
--- a/tools/soak.d/replicas.py
+++ b/tools/soak.d/replicas.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import random
 import time
 from dataclasses import dataclass
 
@@ -11,6 +12,14 @@
 
 EVENTS = 30
 EVENT_PAUSE_S = 0.03
+SLOTS = 16
+# A low rate, so that the traffic of the soak exceeds what a cold replica takes.
+COLD_PER_S = 2
+COLD_S = 4.0
+# Time in which a daemon reports to its peers that a response stated a cold replica.
+COLD_KNOWN_S = 0.5
+CUT_SHARE = 0.1
+IGNORED_POSITIONS_SHARE = 0.25
 _numbers = itertools.count(1)
 
 
@@ -27,14 +36,14 @@
 
 
 class Replica:
-    def __init__(self, service, zone, ledger):
+    def __init__(self, service, zone, ledger, is_cold=False):
         self.id = f"i-{next(_numbers):04d}"
         self.service = service
         self.zone = zone
         # Runs of all replicas, by the request's id.
         self.ledger = ledger
         self.proxy = Proxy()
-        # well, hang, reset, error or garble.
+        # well, hang, reset, error, garble or cut.
         self.mode = "well"
         # When the store acknowledged that it leaves.
         self.left_at = None
@@ -42,6 +51,17 @@
         self.late_arrivals = []
         # Whether nothing has disturbed the daemons and the store of late.
         self.all_calm = lambda: True
+        # Moments at which a request came.
+        self.arrivals = []
+        # Times in which daemons know that it takes only COLD_PER_S.
+        self.cold_spans = []
+        self._born = time.time()
+        self._warm_at = 0.0
+        if is_cold:
+            self._warm_at = time.monotonic() + COLD_S
+            self.cold_spans.append((time.monotonic(), self._warm_at))
+        self._random = random.Random(self.id)
+        self._streams = 0
         self._server = None
         self._open = set()
 
@@ -54,13 +74,38 @@
     async def register(self, store, state):
         entry = {
             "service": self.service, "address": self.proxy.address,
-            "zone": self.zone, "slots": 16, "state": state,
-            "born": int(time.time() * 1_000),
+            "zone": self.zone, "slots": SLOTS, "state": state,
+            "born": int(self._born * 1_000),
+            "cold-remaining-ms": self._cold_ms(),
         }
         acknowledged = await store.write(platform.REPLICAS, self.id, entry)
         if state == "draining":
             self.left_at = acknowledged
 
+    def turn_cold(self):
+        """Becomes cold; only its responses state it."""
+        self._warm_at = time.monotonic() + COLD_S
+
+    def _cold_ms(self):
+        return max(0, int((self._warm_at - time.monotonic()) * 1_000))
+
+    def _state_fields(self):
+        """What a response states of the replica.
+
+        The limit of a replica that turned cold is checked from shortly after the
+        first response that certainly reaches a daemon.
+        """
+        is_received = self.mode == "well" and self.proxy.mode == "open"
+        known_at = time.monotonic() + COLD_KNOWN_S
+        is_known = self.cold_spans and self.cold_spans[-1][1] >= self._warm_at
+        if is_received and known_at < self._warm_at and not is_known:
+            self.cold_spans.append((known_at, self._warm_at))
+        pace = self._random.randint(55, 300)
+        return {
+            "X-Sapphirereel-Cold-Ms": self._cold_ms(),
+            "X-Sapphirereel-Replica-Load": f"{self._streams},0,{SLOTS},{pace}",
+        }
+
     def crash(self):
         self._server.close()
         for writer in list(self._open):
@@ -84,6 +129,7 @@
         if wanted != self.id:
             writer.write(http11.answer(421))
             return
+        self.arrivals.append(time.monotonic())
         if self.left_at is not None and self.all_calm():
             self.late_arrivals.append(time.monotonic())
         if self.mode == "reset":
@@ -101,9 +147,17 @@
         fields = {
             "X-Sapphirereel-Request-Id": request_id,
             "X-Sapphirereel-Response-Signature": f"{self.id}.{request_id}",
-        }
-        if asked.start[1].startswith("/stream/"):
-            await self._stream(run, request_id, fields, writer)
+        } | self._state_fields()
+        is_stream = asked.start[1].startswith(("/stream/", "/resume/"))
+        if is_stream and self.mode != "error":
+            after = int(asked.fields.get("last-event-id", "0"))
+            if self._random.random() < IGNORED_POSITIONS_SHARE:
+                after = 0
+            self._streams += 1
+            try:
+                await self._stream(run, request_id, after, fields, writer)
+            finally:
+                self._streams -= 1
             return
         await asyncio.sleep(0.01)
         run.status = 500 if self.mode == "error" else 200
@@ -115,13 +169,22 @@
             return
         writer.write(bytes_out)
 
-    async def _stream(self, run, request_id, fields, writer):
+    async def _stream(self, run, request_id, after, fields, writer):
         run.status = 200
         fields = fields | {"Content-Type": "text/event-stream"}
         writer.write(http11.answer(200, fields, chunked=True))
-        for number in range(1, EVENTS + 1):
+        for number in range(after + 1, EVENTS + 1):
             last = " last" if number == EVENTS else ""
             event = f"id: {number}\ndata: {request_id}{last}\n\n".encode()
+            if self.mode == "cut" and self._random.random() < CUT_SHARE:
+                # Ends between two events or within one, by a reset or an end.
+                if self._random.random() < 0.5:
+                    writer.write(http11.chunk(event[:9]))
+                if self._random.random() < 0.5:
+                    await asyncio.sleep(EVENT_PAUSE_S)
+                    writer.transport.abort()
+                writer.close()
+                return
             writer.write(http11.chunk(event))
             await writer.drain()
             await asyncio.sleep(EVENT_PAUSE_S)
--- a/tools/soak.d/soak.py
+++ b/tools/soak.d/soak.py
@@ -16,13 +16,13 @@
 import promises
 import store as platform
 from daemons import GRACE_S, Daemon
-from replicas import Replica
+from replicas import COLD_PER_S, COLD_S, Replica
 from store import Store
 
 ZONES = ("z1", "z2", "z3")
 DAEMONS = 6
 REPLICAS = {"plain": 5, "engine": 5}
-CALLERS = 20
+CALLERS = 40
 WARM_UP_S = 3.0
 REST_S = 4.0
 # Time without a disturbance from which a daemon's promises with a bound hold.
@@ -39,6 +39,7 @@
         self.replicas = []
         self.gone = []
         self.findings = []
+        self.evacuations = []
         self.version = 0
         self.keys = dict(CUSTOMERS)
         self.pending = set()
@@ -71,8 +72,8 @@
         for each in self.daemons:
             await each.open(self.store.address)
 
-    async def add_replica(self, service, zone):
-        made = Replica(service, zone, self.ledger)
+    async def add_replica(self, service, zone, is_cold=False):
+        made = Replica(service, zone, self.ledger, is_cold)
         made.all_calm = self.all_calm
         await made.open(self.replica_ip, self.store)
         self.replicas.append(made)
@@ -88,17 +89,22 @@
                 "target-latency-ms": 500, **more,
             }
 
+        cold = {"warmup-s": COLD_S, "cold-per-s": COLD_PER_S}
         whole = {
             "version": self.version,
             "routes": [
                 route("safe", "safe", "plain", **{"max-attempts": 2}),
                 route("unsafe", "unsafe", "plain"),
                 route("stream", "streaming", "engine"),
+                route(
+                    "resume", "streaming", "engine",
+                    **{"stream-resume": True, "max-attempts": 3},
+                ),
                 route(f"v{self.version}", "safe", "plain"),
             ],
             "services": [
-                {"name": "plain"},
-                {"name": "engine", "engine": {"kv-cache-tokens": 100_000}},
+                {"name": "plain", **cold},
+                {"name": "engine", "engine": {"kv-cache-tokens": 100_000}, **cold},
             ],
             "tenants": [
                 {"name": name, "api-keys": [key]} for key, name in self.keys.items()
@@ -147,7 +153,8 @@
         self.store.set_mode("up")
 
     async def disturb_replica(self, replica):
-        replica.mode = self.random.choice(["hang", "reset", "error", "garble"])
+        body_fault = "cut" if replica.service == "engine" else "garble"
+        replica.mode = self.random.choice(["hang", "reset", "error", body_fault])
         await asyncio.sleep(self.random.uniform(0.3, 2))
         replica.mode = "well"
 
@@ -163,17 +170,28 @@
         replica.crash()
         await asyncio.sleep(self.random.uniform(0.5, 3))
         await self.store.write(platform.REPLICAS, replica.id, None)
-        await self.add_replica(replica.service, replica.zone)
+        await self.add_replica(replica.service, replica.zone, is_cold=True)
 
     async def leave(self, replica):
         self.replicas.remove(replica)
         self.gone.append(replica)
-        await self.add_replica(replica.service, replica.zone)
+        await self.add_replica(replica.service, replica.zone, is_cold=True)
         await replica.register(self.store, "draining")
         await asyncio.sleep(promises.DRAIN_BOUND_S + 2)
         await self.store.write(platform.REPLICAS, replica.id, None)
         replica.crash()
 
+    async def turn_cold(self, replica):
+        replica.turn_cold()
+
+    async def evacuate(self, zone):
+        key = f"evacuate/{zone}"
+        since = await self.store.write(platform.CONFIGURATION, key, {})
+        order = promises.Evacuation(zone, since)
+        self.evacuations.append(order)
+        await asyncio.sleep(promises.EVACUATION_BOUND_S + self.random.uniform(1, 5))
+        order.until = await self.store.write(platform.CONFIGURATION, key, None)
+
     async def change(self):
         """Changes the configuration and asks each calm daemon for the new route."""
         version = await self.publish()
@@ -205,9 +223,16 @@
             ("cut replica", replica.id, lambda: self.cut_replica(replica)),
             ("crash", replica.id, lambda: self.crash(replica)),
             ("leave", replica.id, lambda: self.leave(replica)),
+            ("turn cold", replica.id, lambda: self.turn_cold(replica)),
             ("disturb store", "", self.disturb_store),
             ("change", "", self.change),
         ]
+        evacuated = [each.zone for each in self.evacuations if each.is_open()]
+        zones = [zone for zone in ZONES if zone not in evacuated]
+        # All zones at once are rare, as nothing else is tested meanwhile.
+        if len(zones) > 1 or (zones and self.random.random() < 0.1):
+            zone = self.random.choice(zones)
+            kinds.append(("evacuate", zone, lambda: self.evacuate(zone)))
         if is_free:
             kinds += [
                 ("kill", daemon.name, lambda: self.alone(daemon, self.kill)),
@@ -267,7 +292,18 @@
         self.findings += promises.wrong_answers(outcomes, self.ledger)
         self.findings += promises.wrong_customers(outcomes, self.ledger, CUSTOMERS)
         self.findings += promises.unasked_runs(outcomes, self.ledger)
-        self.findings += promises.late_at_leaving(self.replicas + self.gone)
+        replicas = self.replicas + self.gone
+        self.findings += promises.late_at_leaving(replicas)
+        self.findings += promises.reached_evacuated(
+            replicas, self.evacuations, self.store.outages
+        )
+        for order in self.evacuations:
+            # Replicas of a returned zone are cold if its evacuation was known.
+            if order.is_in_force(order.until, self.store.outages):
+                for each in replicas:
+                    if each.zone == order.zone:
+                        each.cold_spans.append((order.until, order.until + COLD_S))
+        self.findings += promises.too_many_while_cold(replicas)
         self.findings += promises.ended_unasked(self.daemons)
         self.findings += promises.not_recovered(at_rest)
 
--- a/tools/soak.d/store.py
+++ b/tools/soak.d/store.py
@@ -21,6 +21,8 @@
         self.mode = "up"
         # When it was last anything but up, on the monotonic clock.
         self.disturbed_at = 0.0
+        # Times at which it was not up.
+        self.outages = []
         self.address = None
 
     async def open(self, ip):
@@ -28,8 +30,11 @@
         self.address = f"{ip}:{server.sockets[0].getsockname()[1]}"
 
     def set_mode(self, mode):
+        now = time.monotonic()
+        if self.mode != "up":
+            self.outages.append((self.disturbed_at, now))
         self.mode = mode
-        self.disturbed_at = time.monotonic()
+        self.disturbed_at = now
 
     def is_calm(self, for_s):
         return self.mode == "up" and time.monotonic() - self.disturbed_at > for_s
