--- a/packages/relay/include/sapphirereel/relay/cold_replicas.hpp
+++ b/packages/relay/include/sapphirereel/relay/cold_replicas.hpp
@@ -100,6 +100,9 @@
         std::uint64_t started_at_ms = 0;
         time_point by_record{};
         time_point by_statement{};
+        /// By a peer's report, which may know of the return of the zone; what
+        /// the replica states does not lower it.
+        time_point by_report{};
         time_point by_return{};
         /// When the last record or response arrived.
         time_point known_at{};
--- a/packages/relay/src/cold_replicas.cpp
+++ b/packages/relay/src/cold_replicas.cpp
@@ -26,12 +26,12 @@
 
 auto cold_replicas::warm_times::latest() const -> time_point
 {
-    return std::max({by_record, by_statement, by_return});
+    return std::max({by_record, by_statement, by_report, by_return});
 }
 
 auto cold_replicas::warm_times::unlisted() const -> time_point
 {
-    auto const other = std::max(by_statement, by_return);
+    auto const other = std::max({by_statement, by_report, by_return});
     return other > by_record + tolerance ? other : time_point{};
 }
 
@@ -127,7 +127,7 @@
             continue;
         }
         auto& entry = entry_of(found->second);
-        entry.by_statement = until;
+        entry.by_report = until;
         entry.known_at = now;
         has_news = true;
     }
--- a/test/correctness/relay/cold_replicas_are_known_to_all.cpp
+++ b/test/correctness/relay/cold_replicas_are_known_to_all.cpp
@@ -110,6 +110,17 @@
     EXPECT_FALSE(cold.rate_of(id, at(81)));
 }
 
+// Found by a soak: a daemon that joined after the return of a zone knows of it
+// from its peers only, and the replica itself says that it is warm.
+TEST(cold_replica, stays_cold_by_a_peers_report_whatever_it_states_itself)
+{
+    auto joined = known_service();
+    joined.apply_report({{id, 7, seconds{10}}}, {{id, replica_of("r")}}, at(0));
+    joined.record_response(replica_of("r"), {}, at(100), at(120));
+    EXPECT_TRUE(joined.rate_of(id, at(9'999)));
+    EXPECT_FALSE(joined.rate_of(id, at(10'000)));
+}
+
 TEST(zone_that_returns, has_all_its_replicas_cold_from_that_moment)
 {
     auto cold = known_service();
--- a/test/correctness/relay/evacuated_zones_get_nothing.cpp
+++ b/test/correctness/relay/evacuated_zones_get_nothing.cpp
@@ -192,6 +192,11 @@
     ASSERT_TRUE(answer);
     EXPECT_EQ(answer->body, "zone_evacuated");
     EXPECT_TRUE(replica.requests.empty());
+    // An entry that stayed in the queue would hold up others for good.
+    auto const all = [](service_name const&) {
+        return true;
+    };
+    EXPECT_TRUE(world.node().state().held.entries_to_report(all).empty());
 }
 
 // A connection opened to see whether a path works counts as contact.
--- a/test/correctness/relay/held_streams_are_attempted_by_urgency.cpp
+++ b/test/correctness/relay/held_streams_are_attempted_by_urgency.cpp
@@ -113,6 +113,16 @@
     EXPECT_EQ(held.tokens_until(stream(2, milliseconds{600}), start), 7'500);
 }
 
+// The latest start of a stream moves with the estimate of its prefill.
+TEST(held_streams, do_not_count_themselves_twice)
+{
+    auto held = held_streams{};
+    auto const own = held.hold(stream(0, milliseconds{100}), [] {});
+    auto const later = stream(0, milliseconds{200});
+    EXPECT_EQ(held.tokens_until(later, start, own), 1'000);
+    EXPECT_EQ(held.tokens_until(later, start), 2'000);
+}
+
 TEST(held_streams, the_most_urgent_are_reported)
 {
     auto held = held_streams{};
--- a/test/correctness/relay/streams_that_cannot_start_are_refused.cpp
+++ b/test/correctness/relay/streams_that_cannot_start_are_refused.cpp
@@ -58,6 +58,14 @@
     EXPECT_FALSE(ended.expected_wait(model, 1, start + seconds{6}));
 }
 
+// Guards against refusals by a queue that has ended, while replicas have room.
+TEST(room_forecast, is_unknown_when_the_queue_has_ended)
+{
+    auto const forecast = queue_with(4);
+    EXPECT_TRUE(forecast.expected_wait(model, 1, start + milliseconds{2'500}));
+    EXPECT_FALSE(forecast.expected_wait(model, 1, start + milliseconds{2'501}));
+}
+
 TEST(room_forecast, callers_wait_for_multiples_of_their_targets)
 {
     EXPECT_EQ(latest_useful_start(urgent_terms), seconds{6});
