Copies for peers: send few large ones at the same time

Change: a daemon sends two large copies at a time and refuses others, whose daemons ask another peer.

--- a/packages/relay/include/sapphirereel/relay/record_transfer.hpp
+++ b/packages/relay/include/sapphirereel/relay/record_transfer.hpp
@@ -48,6 +48,17 @@
 /// None if the bytes are not a valid copy.
 auto read_copy(std::string_view bytes) -> std::optional<peer_copy>;
 
+/// Size from which a copy is large: it takes a weak VM's link, of 10 megabits
+/// per second, for 50 ms or more.
+inline constexpr auto min_large_copy = std::size_t{65'536};
+
+/// Large copies that a daemon sends at the same time. With more, each takes
+/// longer than `fetch_timeout` on a weak link, and none arrives.
+inline constexpr auto max_large_copies = std::size_t{2};
+
+/// Whether a copy may be sent while `pending` large ones are.
+auto may_send_copy(std::size_t bytes, std::size_t pending) -> bool;
+
 } // namespace sapphirereel::relay
 
 #endif
--- a/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
@@ -68,6 +68,7 @@
     /// Choices of a replica that allowed for requests which other daemons have
     /// placed since their reports.
     uncertain_choices,
+    copies_refused,
     count_of_counters
 };
 
--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -682,12 +682,33 @@
                     from->respond(404, {}, {});
                     return;
                 }
-                from->respond(
-                    200, {{"Content-Type", "application/msgpack"}},
-                    cluster_sync_.encoded_copy(*asked));
+                send_copy(from, cluster_sync_.encoded_copy(*asked));
             }));
     }
 
+    /// Sends a copy of a log stream to a peer, or refuses it while too many
+    /// large ones are being sent: the peer then asks another daemon.
+    auto send_copy(std::shared_ptr<caller_session> const& to, std::string copy)
+        -> void
+    {
+        std::erase_if(large_copies_, [](auto const& each) {
+            auto const held = each.lock();
+            return !held || held->is_closed() || held->unsent_bytes() == 0;
+        });
+        if (!may_send_copy(copy.size(), large_copies_.size()))
+        {
+            state_.metrics.add(relay_counter::copies_refused);
+            to->respond(503, {}, {});
+            return;
+        }
+        if (copy.size() >= min_large_copy)
+        {
+            large_copies_.push_back(to);
+        }
+        to->respond(
+            200, {{"Content-Type", "application/msgpack"}}, std::move(copy));
+    }
+
     // Periodic work.
 
     auto tick() -> void
@@ -836,6 +857,8 @@
     std::unique_ptr<listener> callers_;
     std::unique_ptr<listener> control_;
     std::list<std::weak_ptr<caller_session>> sessions_;
+    /// Connections on which large copies are being sent to peers.
+    std::vector<std::weak_ptr<caller_session>> large_copies_;
     asio::steady_timer tick_;
     asio::steady_timer stop_timer_;
     std::function<void()> on_stopped_;
--- a/packages/relay/src/record_transfer.cpp
+++ b/packages/relay/src/record_transfer.cpp
@@ -144,4 +144,9 @@
     }
 }
 
+auto may_send_copy(std::size_t bytes, std::size_t pending) -> bool
+{
+    return bytes < min_large_copy || pending < max_large_copies;
+}
+
 } // namespace sapphirereel::relay
--- a/packages/relay/src/relay_metrics.cpp
+++ b/packages/relay/src/relay_metrics.cpp
@@ -63,7 +63,8 @@
     "paced_streams",
     "paced_streams_elsewhere",
     "pace_waits",
-    "uncertain_choices"};
+    "uncertain_choices",
+    "copies_refused"};
 
 constexpr auto timing_names = std::array<
     std::string_view,
