Competition only between tiers of target latency; cold engines with short runs

Change: streams compete only on services where a less urgent priority has twice the target latency of a more urgent one; without a permit a cold engine runs only what fits the overage by the mean run time.

--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -466,8 +466,7 @@
     {
         return state_.held.entries_to_report([this](
                                                  service_name const& service) {
-            return state_.table && allows_several_priorities(
-                                       state_.table->configuration(), service);
+            return state_.table && state_.table->has_tiered_targets(service);
         });
     }
 
@@ -688,7 +687,8 @@
 
     /// Sends a copy of a log stream to a peer, or refuses it while too many
     /// large ones are being sent: the peer then asks another daemon.
-    auto send_copy(std::shared_ptr<caller_session> const& to, std::string copy)
+    auto send_copy(
+        std::shared_ptr<caller_session> const& to, std::string const& copy)
         -> void
     {
         std::erase_if(large_copies_, [](auto const& each) {
@@ -705,8 +705,7 @@
         {
             large_copies_.push_back(to);
         }
-        to->respond(
-            200, {{"Content-Type", "application/msgpack"}}, std::move(copy));
+        to->respond(200, {{"Content-Type", "application/msgpack"}}, copy);
     }
 
     // Periodic work.
--- a/packages/relay/include/sapphirereel/relay/replica_table.hpp
+++ b/packages/relay/include/sapphirereel/relay/replica_table.hpp
@@ -205,6 +205,11 @@
         std::optional<engine_traits> const& engine,
         time_point now) const -> bool;
 
+    /// Mean time that a service's replicas took for a request; none if none was
+    /// measured.
+    [[nodiscard]] auto mean_service_time(service_name const& of) const
+        -> std::optional<duration>;
+
     /// Paces of the replicas.
     [[nodiscard]] auto pace() -> pace_policy&
     {
--- a/packages/relay/include/sapphirereel/relay/routing.hpp
+++ b/packages/relay/include/sapphirereel/relay/routing.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -147,6 +148,14 @@
     [[nodiscard]] auto find_service(service_name const& name) const
         -> service const*;
 
+    /// Whether a service has streams of several priorities, of which the less
+    /// urgent ones have a much longer target latency.
+    [[nodiscard]] auto has_tiered_targets(service_name const& name) const
+        -> bool
+    {
+        return tiered_.contains(name);
+    }
+
     [[nodiscard]] auto configuration() const -> routing_configuration const&
     {
         return configuration_;
@@ -158,6 +167,8 @@
     std::map<std::string, std::vector<std::size_t>, std::less<>> by_host_;
     std::map<std::string, std::size_t, std::less<>> by_key_;
     std::map<service_name, std::size_t> by_service_;
+    /// Services with tiered targets.
+    std::set<service_name> tiered_;
 };
 
 } // namespace sapphirereel::relay
--- a/packages/relay/src/replica_table.cpp
+++ b/packages/relay/src/replica_table.cpp
@@ -396,6 +396,14 @@
     return whole > 0 ? used / whole : 0;
 }
 
+auto replica_table::mean_service_time(service_name const& of) const
+    -> std::optional<duration>
+{
+    auto const measured = service_times_.find(of);
+    return measured == service_times_.end() ? std::nullopt
+                                            : measured->second.mean();
+}
+
 auto replica_table::load_spreads() const -> std::map<service_name, double>
 {
     auto memory = std::map<service_name, std::vector<double>>{};
--- a/packages/relay/src/room_wait.cpp
+++ b/packages/relay/src/room_wait.cpp
@@ -22,6 +22,10 @@
 auto room_wait::has_competition(time_point now) const -> bool
 {
     auto const& state = exchange_->state;
+    if (!exchange_->granted.table->has_tiered_targets(exchange_->service))
+    {
+        return false;
+    }
     return state.room.has_several_priorities(exchange_->service, now) ||
            state.held.is_any_of_other_priority(
                exchange_->service, exchange_->granted.priority, now);
@@ -88,7 +92,10 @@
 {
     auto const& state = exchange_->state;
     auto const engine = exchange_->engine();
-    if (!engine || !state.room.has_several_priorities(exchange_->service, now))
+    auto const is_tiered =
+        exchange_->granted.table->has_tiered_targets(exchange_->service);
+    if (!engine || !is_tiered ||
+        !state.room.has_several_priorities(exchange_->service, now))
     {
         return 0;
     }
--- a/packages/relay/src/routing.cpp
+++ b/packages/relay/src/routing.cpp
@@ -4,9 +4,69 @@
 #include <utility>
 
 namespace sapphirereel::relay {
+namespace {
+
+/// Ratio of target latencies from which less urgent streams can wait for more
+/// urgent ones and still start in time.
+constexpr auto min_target_ratio = 2;
+
+/// Shortest and longest target latency of the streams of one priority.
+struct target_range
+{
+    duration shortest = duration::max();
+    duration longest{0};
+};
+
+using targets_by_priority = std::map<int, target_range>;
+
+auto is_tiered(targets_by_priority const& targets) -> bool
+{
+    auto shortest = duration::max();
+    for (auto const& [priority, range] : targets)
+    {
+        if (shortest != duration::max() &&
+            range.longest >= shortest * min_target_ratio)
+        {
+            return true;
+        }
+        shortest = std::min(shortest, range.shortest);
+    }
+    return false;
+}
+
+auto services_with_tiers(std::vector<route> const& routes)
+    -> std::set<service_name>
+{
+    auto targets = std::map<service_name, targets_by_priority>{};
+    for (auto const& each : routes)
+    {
+        if (each.kind != request_kind::stream)
+        {
+            continue;
+        }
+        for (auto const& share : each.services)
+        {
+            auto& range = targets[share.service][each.priority];
+            range.shortest = std::min(range.shortest, each.target_latency);
+            range.longest = std::max(range.longest, each.target_latency);
+        }
+    }
+    auto tiered = std::set<service_name>{};
+    for (auto const& [service, by_priority] : targets)
+    {
+        if (is_tiered(by_priority))
+        {
+            tiered.insert(service);
+        }
+    }
+    return tiered;
+}
+
+} // namespace
 
 routing_table::routing_table(routing_configuration configuration)
     : configuration_(std::move(configuration))
+    , tiered_(services_with_tiers(configuration_.routes))
 {
     auto const& routes = configuration_.routes;
     for (auto at = std::size_t{0}; at < routes.size(); ++at)
--- a/packages/relay/src/send_gate.cpp
+++ b/packages/relay/src/send_gate.cpp
@@ -25,9 +25,7 @@
 constexpr auto wait_for_other_home = duration{std::chrono::milliseconds{50}};
 
 /// Part of the slack of a cold replica's bound up to which requests may run
-/// there without a permit. Together with the permits they stay within the
-/// bound, as a stream takes some 0.3 s or more, and permits leave a part of it
-/// unused.
+/// there without a permit.
 constexpr auto idle_share_of_slack = 0.5;
 
 /// Difference of rates that are equal, after rounding.
@@ -67,7 +65,15 @@
     }
     auto const allowance =
         std::floor(cold_bounds_.slack * idle_share_of_slack * reachable_share_);
-    return replicas_->load_of(id).requests + 1 <= allowance;
+    auto const time = replicas_->mean_service_time(listed->service);
+    if (!time || replicas_->load_of(id).requests + 1 > allowance)
+    {
+        return false;
+    }
+    // Permits take the rate; what runs without them has to fit the overage.
+    auto const seconds = std::chrono::duration<double>(*time).count();
+    auto const spare = *cold_.rate_of(id, now) * (cold_bounds_.overage - 1);
+    return allowance <= spare * seconds;
 }
 
 auto send_gate::rate_of(endpoint_id const& id, time_point now) const
--- a/test/correctness/relay/idle_cold_replicas_need_no_permit.cpp
+++ b/test/correctness/relay/idle_cold_replicas_need_no_permit.cpp
@@ -17,7 +17,7 @@
 class cold_replica_gate
 {
 public:
-    explicit cold_replica_gate(bool is_engine)
+    explicit cold_replica_gate(bool is_engine, duration run_time = seconds{1})
     {
         auto described = service{};
         described.name = service_name{"s"};
@@ -35,6 +35,7 @@
         gate.cold().set_services({described});
         gate.cold().record_listed(listed, now);
         gate.set_cold_bounds({1.5, 5}, "10.0.0.1");
+        table.record_service_time(described.name, run_time);
     }
 
     [[nodiscard]] auto is_open() -> bool
@@ -60,6 +61,12 @@
     EXPECT_TRUE(world.is_open());
 }
 
+// Found by a soak: many short requests run one after the other in a second.
+TEST(cold_engine, takes_short_requests_by_permit_only)
+{
+    EXPECT_FALSE((cold_replica_gate{true, milliseconds{50}}.is_open()));
+}
+
 // Its peers may send there too, which it does not see.
 TEST(cold_engine, takes_none_from_a_daemon_that_hears_few_others)
 {
