--- a/packages/relay/src/cold_replicas.cpp
+++ b/packages/relay/src/cold_replicas.cpp
@@ -122,14 +122,22 @@
         auto const held = replicas_.find(each.id);
         auto const known =
             held == replicas_.end() ? now : held->second.latest();
-        if (until <= std::max(known, now) + tolerance)
+        if (until <= now)
         {
             continue;
         }
+        // Kept also if the replica's record says nearly the same: a response
+        // may lower what the record says.
         auto& entry = entry_of(found->second);
-        entry.by_report = until;
-        entry.known_at = now;
-        has_news = true;
+        if (entry.by_report <= now || until > entry.by_report + tolerance)
+        {
+            entry.by_report = until;
+        }
+        if (until > std::max(known, now) + tolerance)
+        {
+            entry.known_at = now;
+            has_news = true;
+        }
     }
     return has_news;
 }
--- a/test/correctness/relay/cold_replicas_are_known_to_all.cpp
+++ b/test/correctness/relay/cold_replicas_are_known_to_all.cpp
@@ -121,6 +121,17 @@
     EXPECT_FALSE(joined.rate_of(id, at(10'000)));
 }
 
+TEST(cold_replica, stays_cold_by_a_report_that_its_record_nearly_agrees_with)
+{
+    auto joined = known_service();
+    auto listed = replica_of("r");
+    listed.cold_remaining = milliseconds{9'800};
+    joined.record_listed(listed, at(0));
+    joined.apply_report({{id, 7, seconds{10}}}, {{id, listed}}, at(0));
+    joined.record_response(replica_of("r"), {}, at(100), at(120));
+    EXPECT_TRUE(joined.rate_of(id, at(9'999)));
+}
+
 TEST(zone_that_returns, has_all_its_replicas_cold_from_that_moment)
 {
     auto cold = known_service();
