Configuration check: differences between versions in a unit of their own

Change: configuration_changes compares versions, configuration_review finds faults; no change of behaviour.

--- a/packages/relay/include/sapphirereel/relay/configuration_review.hpp
+++ b/packages/relay/include/sapphirereel/relay/configuration_review.hpp
@@ -1,7 +1,7 @@
 /// \file
 /// Defines the review of a configuration before it is published: errors,
 /// entries that never match a request, limits that contradict each other, and
-/// the differences from the version in force.
+/// versions that daemons ignore.
 #ifndef SAPPHIREREEL_RELAY_CONFIGURATION_REVIEW_HPP
 #define SAPPHIREREEL_RELAY_CONFIGURATION_REVIEW_HPP
 
@@ -20,32 +20,6 @@
     routing_configuration const& proposed, std::string const& source)
     -> findings;
 
-/// How an entry of a configuration differs from the version in force.
-enum class change_kind
-{
-    added,
-    removed,
-    changed
-};
-
-/// One entry that differs, as a line for an operator. Keys of customers are
-/// counted, not shown.
-struct configuration_change
-{
-    change_kind kind = change_kind::changed;
-    /// The entry, as `route NAME`, `service NAME` or `customer NAME`.
-    std::string entry;
-    /// What differs, as `field: before -> after`; empty for entries that were
-    /// added or removed.
-    std::vector<std::string> fields;
-    auto operator<=>(configuration_change const&) const = default;
-};
-
-/// What differs from the version in force, by kind of entry and name.
-auto changes_between(
-    routing_configuration const& in_force,
-    routing_configuration const& proposed) -> std::vector<configuration_change>;
-
 /// The error that a proposed version is not higher than the one in force, so
 /// that daemons ignore it; none if it is.
 auto review_version(
