Responses of replicas: log and count which request they name

The hypotheses could not be told apart from the logs: no line had the id that a refusal bears or whether its connection had carried other requests. 'rejected by the replica' has both now; a response that need not be about the request is counted (responses_to_others, responses_unnamed) and logged; a stream's failure of a replica that is passed on is logged. No decision changes.

--- a/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
@@ -256,6 +256,7 @@
 
     auto answered() -> void
     {
+        auto const is_on_kept_connection = call_->is_on_kept_connection();
         end_attempt();
         if (exchange_.finished)
         {
@@ -264,10 +265,14 @@
         auto const now = telemetry::monotonic_now();
         auto const answer = Format::read_response(*head_);
         record_replica_state(exchange_.state, target_, answer, sent_at_, now);
+        exchange_.record_subject(
+            target_, *head_, answer, is_on_kept_connection);
         auto const is_own = answer.request_id.empty() ||
                             answer.request_id == exchange_.request.id;
         if (answer.not_run && is_own)
         {
+            exchange_.log_rejection(
+                target_, *head_, answer, is_on_kept_connection);
             rejected(now);
             return;
         }
@@ -307,9 +312,6 @@
     {
         --exchange_.runs;
         exchange_.state.metrics.add(relay_counter::replica_rejections);
-        exchange_.state.log.request(
-            exchange_.request.id, "rejected by the replica",
-            {{"replica", target_.id}, {"status", head_->status}});
         if (head_->status == 421)
         {
             exchange_.state.replicas.failed(target_.id, now);
--- a/packages/relay/include/sapphirereel/relay/exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/exchange.hpp
@@ -7,6 +7,7 @@
 #include "sapphirereel/relay/caller_session.hpp"
 #include "sapphirereel/relay/message_format.hpp"
 #include "sapphirereel/relay/relay_state.hpp"
+#include "sapphirereel/relay/response_attribution.hpp"
 #include "sapphirereel/telemetry/clocks.hpp"
 
 #include <algorithm>
@@ -128,6 +129,20 @@
     /// there is no room.
     [[nodiscard]] auto retry_after_for(duration expected_wait) -> duration;
 
+    /// Counts and logs a response that need not be about this request.
+    auto record_subject(
+        replica const& at,
+        http::response_head const& head,
+        replica_response const& response,
+        bool is_on_kept_connection) -> void;
+
+    /// Logs that a replica states that it has not executed the request.
+    auto log_rejection(
+        replica const& at,
+        http::response_head const& head,
+        replica_response const& response,
+        bool is_on_kept_connection) -> void;
+
     /// Records that a replica of the service has sent something, or that the
     /// attempt at a replica failed without that.
     auto record_path_response() -> void;
--- a/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
@@ -28,6 +28,8 @@
     retries,
     connections_failed,
     replica_rejections,
+    responses_to_others,
+    responses_unnamed,
     replica_backoffs,
     stream_events,
     streams_moved,
--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -561,6 +561,13 @@
                       answer.request_id == exchange_.request.id;
         not_run_ = answer.not_run;
         is_signed_ = answer.is_signed;
+        auto const is_on_kept_connection = call_->is_on_kept_connection();
+        exchange_.record_subject(target_, head, answer, is_on_kept_connection);
+        if (not_run_)
+        {
+            exchange_.log_rejection(
+                target_, head, answer, is_on_kept_connection);
+        }
         // Last, because a replica that leaves starts this run's migration.
         record_replica_state(
             exchange_.state, replica{target_}, answer, sent_at_, now);
@@ -769,9 +776,6 @@
         if (not_run_)
         {
             exchange_.state.metrics.add(relay_counter::replica_rejections);
-            exchange_.state.log.request(
-                exchange_.request.id, "rejected by the replica",
-                {{"replica", target_.id}, {"status", head_->status}});
             retry_not_run(now);
             return;
         }
@@ -806,6 +810,11 @@
     {
         end(now);
         exchange_.state.metrics.add(relay_counter::answers);
+        exchange_.state.log.request(
+            exchange_.request.id, "answered",
+            {{"replica", target_.id},
+             {"status", failure.head.status},
+             {"after", now - exchange_.started_at}});
         exchange_.caller->respond(
             failure.head.status, Format::response_fields(failure.head),
             failure.body);
--- a/packages/relay/include/sapphirereel/relay/upstream_call.hpp
+++ b/packages/relay/include/sapphirereel/relay/upstream_call.hpp
@@ -81,6 +81,13 @@
     auto pause() -> void;
     auto resume() -> void;
 
+    /// Whether the connection carried other calls before this one, so that a
+    /// response to one of those may arrive on it.
+    [[nodiscard]] auto is_on_kept_connection() const -> bool
+    {
+        return is_on_kept_connection_;
+    }
+
 private:
     friend class upstream_pool;
 
@@ -109,6 +116,7 @@
     std::size_t body_bytes_ = 0;
     bool head_delivered_ = false;
     bool finished_ = false;
+    bool is_on_kept_connection_ = false;
 };
 
 /// Pool of connections to other processes, by address. A connection is reused
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -221,6 +221,48 @@
         max_expected_retry_after);
 }
 
+auto exchange::record_subject(
+    replica const& at,
+    http::response_head const& head,
+    replica_response const& response,
+    bool is_on_kept_connection) -> void
+{
+    auto const subject = subject_of(response, request.id);
+    auto const may_be_about_another =
+        subject == response_subject::another_request ||
+        (subject == response_subject::unnamed && is_on_kept_connection);
+    if (!may_be_about_another)
+    {
+        return;
+    }
+    state.metrics.add(
+        subject == response_subject::unnamed
+            ? relay_counter::responses_unnamed
+            : relay_counter::responses_to_others);
+    state.log.request(
+        request.id, "a response need not be about this request",
+        {{"replica", at.id},
+         {"status", head.status},
+         {"names", std::string{name_of(subject)}},
+         {"named_request", response.request_id},
+         {"not_executed", response.not_run},
+         {"kept_connection", is_on_kept_connection}});
+}
+
+auto exchange::log_rejection(
+    replica const& at,
+    http::response_head const& head,
+    replica_response const& response,
+    bool is_on_kept_connection) -> void
+{
+    state.log.request(
+        request.id, "rejected by the replica",
+        {{"replica", at.id},
+         {"status", head.status},
+         {"names", std::string{name_of(subject_of(response, request.id))}},
+         {"kept_connection", is_on_kept_connection}});
+}
+
 auto exchange::record_path_response() -> void
 {
     state.paths.record_response(service);
--- a/packages/relay/src/relay_metrics.cpp
+++ b/packages/relay/src/relay_metrics.cpp
@@ -26,6 +26,8 @@
     "retries",
     "connections_failed",
     "replica_rejections",
+    "responses_to_others",
+    "responses_unnamed",
     "replica_backoffs",
     "stream_events",
     "streams_moved",
--- a/packages/relay/src/upstream_call.cpp
+++ b/packages/relay/src/upstream_call.cpp
@@ -236,6 +236,7 @@
         *this, to, std::move(bytes), options, std::move(callbacks)}};
     if (auto held = take_idle(to, options.max_idle))
     {
+        call->is_on_kept_connection_ = true;
         // Posted to the event loop, so that no handler runs before the caller
         // holds the call.
         asio::post(loop_, [call, held = std::move(held)] {
