--- a/test/support/relay/raw_replica.hpp
+++ b/test/support/relay/raw_replica.hpp
@@ -42,6 +42,12 @@
 
     std::uint16_t port;
 
+    /// Connections that callers have opened so far.
+    [[nodiscard]] auto opened_connections() const -> std::size_t
+    {
+        return connections_.size();
+    }
+
 private:
     auto serve_connection(std::shared_ptr<connection> const& opened) -> void
     {
--- a/test/support/relay/relay_fixture.hpp
+++ b/test/support/relay/relay_fixture.hpp
@@ -292,9 +292,19 @@
         std::string const& method,
         std::string const& target,
         http::field_list fields = {}) -> buffered_response
+    {
+        return send_request_as("r1", method, target, std::move(fields));
+    }
+
+    /// The same with another request id.
+    auto send_request_as(
+        std::string const& request_id,
+        std::string const& method,
+        std::string const& target,
+        http::field_list fields = {}) -> buffered_response
     {
         fields.push_back({"Host", "h"});
-        fields.push_back({"X-Sapphirereel-Request-Id", "r1"});
+        fields.push_back({"X-Sapphirereel-Request-Id", request_id});
         auto got = std::optional<buffered_response>{};
         buffered_call::start(
             loop, pool_, caller_address(),
