Responses of replicas: one place decides what they prove about a request

What callers saw: streams ran at two replicas (TWICE), or were refused with 503 retry_budget though a replica ran them (REFUSED); 502 'the answer is not the replica's answer to this request' beside them. Cause: each exchange had its own rule for which request a response is about. stream_exchange compared ids for successes only, so that a refusal of an earlier request, written once more on a kept connection, took the run of the next one back; buffered_exchange took any response without an id for its own. Both recorded the load, limits and backoff of such responses, and the connection went back to the pool with this request's response still to come. Fix: response_attribution decides by id, signature, statement and whether the connection carried other requests. A response to another request is dropped and the call waits on for its own; its connection is not kept. One without an id on a kept connection proves nothing: the connection is closed, and the request may have run.

daemons_without_a_path_use_their_peers: the stand-in rejected without an id, which replicas of the platform don't do; it names the request now.

--- a/packages/http/include/sapphirereel/http/response_parser.hpp
+++ b/packages/http/include/sapphirereel/http/response_parser.hpp
@@ -52,6 +52,9 @@
     /// Whether bytes came after the end of the response.
     [[nodiscard]] auto has_excess() const -> bool;
 
+    /// Takes the bytes that came after the end of the response.
+    auto take_excess() -> std::string;
+
     /// Whether the response ends with its connection.
     [[nodiscard]] auto ends_with_connection() const -> bool;
 
--- a/packages/http/src/response_parser.cpp
+++ b/packages/http/src/response_parser.cpp
@@ -136,6 +136,12 @@
     return complete() && !state_->buffer.empty();
 }
 
+auto response_parser::take_excess() -> std::string
+{
+    return complete() ? std::exchange(state_->buffer, std::string{})
+                      : std::string{};
+}
+
 auto response_parser::ends_with_connection() const -> bool
 {
     return state_->parser->is_header_done() && state_->parser->need_eof();
--- a/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
@@ -207,18 +207,31 @@
                 exchange_.request,
                 {target_.id, left, exchange_.granted.customer, {}, {}}),
             options,
-            {[self](http::response_head const& head) {
-                 self->head_ = head;
-                 self->exchange_.record_path_response();
-             },
+            {[self](http::response_head const& head) { self->head_ = head; },
              [self](std::string const& body) { self->body_ += body; },
              [self] { self->answered(); },
-             [self](call_failure const& why) {
-                 self->attempt_failed(why);
+             [self](call_failure const& why) { self->attempt_failed(why); },
+             [self](http::response_head const& head) {
+                 return self->examine(head);
              }});
         arm_attempt_timer(left);
     }
 
+    auto examine(http::response_head const& head) -> response_use
+    {
+        exchange_.record_path_response();
+        proof_ = exchange_.examine(
+            target_, head, Format::read_response(head),
+            call_->is_on_kept_connection());
+        auto const use = use_of(proof_);
+        if (use == response_use::fail)
+        {
+            // The replica has responded, though not to this request.
+            head_ = head;
+        }
+        return use;
+    }
+
     /// Limits the time of an attempt if another one may follow.
     auto arm_attempt_timer(duration left) -> void
     {
@@ -256,7 +269,6 @@
 
     auto answered() -> void
     {
-        auto const is_on_kept_connection = call_->is_on_kept_connection();
         end_attempt();
         if (exchange_.finished)
         {
@@ -265,21 +277,13 @@
         auto const now = telemetry::monotonic_now();
         auto const answer = Format::read_response(*head_);
         record_replica_state(exchange_.state, target_, answer, sent_at_, now);
-        exchange_.record_subject(
-            target_, *head_, answer, is_on_kept_connection);
-        auto const is_own = answer.request_id.empty() ||
-                            answer.request_id == exchange_.request.id;
-        if (answer.not_run && is_own)
-        {
-            exchange_.log_rejection(
-                target_, *head_, answer, is_on_kept_connection);
+        if (proof_ == response_proof::not_executed)
+        {
             rejected(now);
             return;
         }
-        auto const is_success = head_->status / 100 == 2;
-        auto const is_valid = is_own && (answer.is_signed || !is_success) &&
-                              (is_success ? !answer.request_id.empty() : true);
-        if (!is_valid)
+        auto const is_success = proof_ == response_proof::succeeded;
+        if (!is_success && proof_ != response_proof::failed)
         {
             attempt_failed(
                 {call_stage::answering,
@@ -426,7 +430,7 @@
             call_->cancel();
         }
         end_attempt();
-        auto const outcome = outcome_of(why);
+        auto const outcome = exchange_.outcome_of(why);
         give_up(outcome.refusal, outcome.status, outcome.detail);
     }
 
@@ -461,6 +465,8 @@
     /// Whether a replica has ended a connection that carried the request.
     bool has_ended_connection_ = false;
     std::optional<http::response_head> head_;
+    /// What the response proves.
+    response_proof proof_ = response_proof::nothing;
     std::string body_;
     /// A replica's 5xx response, forwarded if no other attempt gets a better
     /// one.
--- a/packages/relay/include/sapphirereel/relay/exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/exchange.hpp
@@ -87,8 +87,6 @@
     auto operator<=>(interruption_outcome const&) const = default;
 };
 
-auto outcome_of(interruption why) -> interruption_outcome;
-
 /// A request with its caller, its route and the attempts made for it so far.
 class exchange
 {
@@ -129,19 +127,18 @@
     /// there is no room.
     [[nodiscard]] auto retry_after_for(duration expected_wait) -> duration;
 
-    /// Counts and logs a response that need not be about this request.
-    auto record_subject(
+    /// Decides what a response proves about this request. Counts and logs one
+    /// that need not be about it.
+    auto examine(
         replica const& at,
         http::response_head const& head,
         replica_response const& response,
-        bool is_on_kept_connection) -> void;
+        bool is_on_kept_connection) -> response_proof;
 
-    /// Logs that a replica states that it has not executed the request.
-    auto log_rejection(
-        replica const& at,
-        http::response_head const& head,
-        replica_response const& response,
-        bool is_on_kept_connection) -> void;
+    /// The refusal and the error status with which an interruption ends this
+    /// request.
+    [[nodiscard]] auto outcome_of(interruption why) const
+        -> interruption_outcome;
 
     /// Records that a replica of the service has sent something, or that the
     /// attempt at a replica failed without that.
@@ -248,6 +245,19 @@
     bool finished = false;
 
 private:
+    auto record_subject(
+        replica const& at,
+        http::response_head const& head,
+        replica_response const& response,
+        bool is_on_kept_connection) -> void;
+
+    /// Logs that a replica states that it has not executed the request.
+    auto log_rejection(
+        replica const& at,
+        http::response_head const& head,
+        replica_response const& response,
+        bool is_on_kept_connection) -> void;
+
     /// Whether a peer may take the request.
     [[nodiscard]] auto may_forward(time_point now) const -> bool;
     auto pick_service() -> service_name;
@@ -258,6 +268,8 @@
     closed_replicas closed_;
 
     std::shared_ptr<std::set<exchange*>> open_exchanges_;
+    /// Whether a response to another request came in place of this one's.
+    bool has_stale_response_ = false;
     interruption_handler interrupted_;
     /// Digest of the request's content, computed on first use.
     std::optional<digest> fingerprint_;
--- a/packages/relay/include/sapphirereel/relay/forwarded_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/forwarded_exchange.hpp
@@ -425,7 +425,7 @@
             call_->cancel();
         }
         end_attempt();
-        auto const outcome = outcome_of(why);
+        auto const outcome = exchange_.outcome_of(why);
         give_up(outcome.refusal, outcome.status, outcome.detail);
     }
 
--- a/packages/relay/include/sapphirereel/relay/response_attribution.hpp
+++ b/packages/relay/include/sapphirereel/relay/response_attribution.hpp
@@ -1,11 +1,12 @@
 /// \file
-/// Defines which request a response is about. A replica may write a response to
-/// an earlier request late or twice, at the point where the next one is
-/// expected.
+/// Defines what a response proves about the request that is answered. A replica
+/// may write a response to an earlier request late or twice, at the point where
+/// the next one is expected.
 #ifndef SAPPHIREREEL_RELAY_RESPONSE_ATTRIBUTION_HPP
 #define SAPPHIREREEL_RELAY_RESPONSE_ATTRIBUTION_HPP
 
 #include "sapphirereel/relay/message_format.hpp"
+#include "sapphirereel/relay/upstream_call.hpp"
 
 #include <string_view>
 
@@ -26,6 +27,42 @@
 auto subject_of(replica_response const& response, std::string_view request_id)
     -> response_subject;
 
+/// What a response proves about the request that is answered.
+enum class response_proof
+{
+    /// It was executed, and this is its result.
+    succeeded,
+    failed,
+    /// It was not executed and will not be.
+    not_executed,
+    /// Nothing: it may have been executed.
+    nothing,
+    /// Nothing: the response is about an earlier request, and its own response
+    /// may follow.
+    stale,
+    /// Nothing: the response may be about an earlier request.
+    unattributable
+};
+
+/// The response that is expected.
+struct expected_response
+{
+    std::string_view request_id;
+    /// The replica that was addressed; empty if it was none.
+    endpoint_id replica;
+    /// Whether the connection carried other requests before.
+    bool is_on_kept_connection = false;
+};
+
+/// What a response proves.
+auto proof_of(
+    int status,
+    replica_response const& response,
+    expected_response const& expected) -> response_proof;
+
+/// What becomes of a response with such a proof.
+auto use_of(response_proof proof) -> response_use;
+
 /// Name in log lines.
 auto name_of(response_subject subject) -> std::string_view;
 
--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -176,7 +176,7 @@
         ++capacity_wait_;
         if (exchange_.is_poisoned())
         {
-            auto const outcome = outcome_of(interruption::poison);
+            auto const outcome = exchange_.outcome_of(interruption::poison);
             give_up(outcome.refusal, outcome.status, outcome.detail);
             return;
         }
@@ -452,8 +452,9 @@
              },
              [self](std::string const& body) { self->receive(body); },
              [self] { self->source_completed(); },
-             [self](call_failure const& why) {
-                 self->source_failed(why);
+             [self](call_failure const& why) { self->source_failed(why); },
+             [self](http::response_head const& head) {
+                 return self->examine(head);
              }});
     }
 
@@ -551,23 +552,25 @@
         }
     }
 
+    auto examine(http::response_head const& head) -> response_use
+    {
+        exchange_.record_path_response();
+        proof_ = exchange_.examine(
+            target_, head, Format::read_response(head),
+            call_->is_on_kept_connection());
+        return use_of(proof_);
+    }
+
+    [[nodiscard]] auto is_success() const -> bool
+    {
+        return proof_ == response_proof::succeeded;
+    }
+
     auto handle_head(http::response_head const& head) -> void
     {
         head_ = head;
-        exchange_.record_path_response();
         auto const answer = Format::read_response(head);
         auto const now = telemetry::monotonic_now();
-        is_success_ = head.status / 100 == 2 && answer.is_signed &&
-                      answer.request_id == exchange_.request.id;
-        not_run_ = answer.not_run;
-        is_signed_ = answer.is_signed;
-        auto const is_on_kept_connection = call_->is_on_kept_connection();
-        exchange_.record_subject(target_, head, answer, is_on_kept_connection);
-        if (not_run_)
-        {
-            exchange_.log_rejection(
-                target_, head, answer, is_on_kept_connection);
-        }
         // Last, because a replica that leaves starts this run's migration.
         record_replica_state(
             exchange_.state, replica{target_}, answer, sent_at_, now);
@@ -575,7 +578,7 @@
 
     auto receive(std::string const& body) -> void
     {
-        if (!is_success_)
+        if (!is_success())
         {
             failure_body_ += body;
             if (failure_body_.size() > max_stray_bytes)
@@ -737,7 +740,7 @@
             return;
         }
         auto const now = telemetry::monotonic_now();
-        if (!is_success_)
+        if (!is_success())
         {
             handle_other_response(now);
             return;
@@ -773,13 +776,13 @@
     auto handle_other_response(time_point now) -> void
     {
         load_.release();
-        if (not_run_)
+        if (proof_ == response_proof::not_executed)
         {
             exchange_.state.metrics.add(relay_counter::replica_rejections);
             retry_not_run(now);
             return;
         }
-        auto const is_replica_failure = is_signed_ && head_->status >= 300;
+        auto const is_replica_failure = proof_ == response_proof::failed;
         auto const is_final = is_replica_failure && head_->status < 500 &&
                               !resumption_.is_resuming();
         if (is_replica_failure && !is_final && !events_.has_begun())
@@ -1008,7 +1011,7 @@
             return;
         }
         record_silence();
-        auto const outcome = outcome_of(why);
+        auto const outcome = exchange_.outcome_of(why);
         if (events_.has_begun())
         {
             // A run that has produced output is not the one that crashes.
@@ -1052,6 +1055,8 @@
     std::shared_ptr<upstream_call> call_;
     replica target_;
     std::optional<http::response_head> head_;
+    /// What the response proves.
+    response_proof proof_ = response_proof::nothing;
     event_splitter splitter_;
     /// Pauses of the run at the present replica.
     run_pauses pauses_;
@@ -1066,9 +1071,6 @@
     /// Whether the run was sent to continue after the last event, without a
     /// copy, and has produced no event yet.
     bool is_sent_again_ = false;
-    bool is_success_ = false;
-    bool is_signed_ = false;
-    bool not_run_ = false;
     bool is_complete_ = false;
     bool has_waited_for_pace_ = false;
 };
--- a/packages/relay/include/sapphirereel/relay/upstream_call.hpp
+++ b/packages/relay/include/sapphirereel/relay/upstream_call.hpp
@@ -45,6 +45,23 @@
 /// For responses that are passed on as they come.
 inline constexpr auto unlimited_body = std::numeric_limits<std::size_t>::max();
 
+/// What becomes of a response, by its head.
+enum class response_use
+{
+    /// It is passed to the handlers.
+    deliver,
+    /// It is about an earlier request: it is read and dropped, and the call
+    /// waits on for its own.
+    discard,
+    /// The request that it is about is not known: the call fails.
+    fail
+};
+
+/// Most responses that are discarded before a call's own, and most bytes of
+/// their bodies.
+inline constexpr auto max_discarded_responses = 4U;
+inline constexpr auto max_discarded_bytes = std::size_t{1} << 20U;
+
 /// How a call uses the pool.
 struct call_options
 {
@@ -72,6 +89,9 @@
         std::function<void(std::string const&)> body;
         std::function<void()> completed;
         std::function<void(call_failure const&)> failed;
+        /// Decides about a response whose head has arrived; without this
+        /// handler each is delivered.
+        std::function<response_use(http::response_head const&)> examine = {};
     };
 
     /// Aborts the call and closes its connection.
@@ -101,7 +121,9 @@
     auto begin(std::shared_ptr<connection> transport) -> void;
     auto receive(std::string_view bytes) -> void;
     auto end(connection_end how) -> void;
-    auto deliver_body() -> void;
+    auto take_head() -> void;
+    auto take_body() -> void;
+    auto begin_discarding() -> void;
     auto complete() -> void;
     auto fail(call_failure const& why) -> void;
 
@@ -116,12 +138,17 @@
     std::size_t body_bytes_ = 0;
     bool head_delivered_ = false;
     bool finished_ = false;
+    /// Whether the response that is being read is discarded.
+    bool is_discarding_ = false;
+    unsigned discarded_responses_ = 0;
+    std::size_t discarded_bytes_ = 0;
     bool is_on_kept_connection_ = false;
 };
 
 /// Pool of connections to other processes, by address. A connection is reused
-/// only if the whole request was sent, the whole response was read, nothing
-/// followed it and neither side asked to close.
+/// only if the whole request was sent, the whole response was read, no other
+/// response came before it, nothing followed it and neither side asked to
+/// close.
 class upstream_pool
 {
 public:
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -57,11 +57,17 @@
     }
 }
 
-auto outcome_of(interruption why) -> interruption_outcome
+auto exchange::outcome_of(interruption why) const -> interruption_outcome
 {
     switch (why)
     {
     case interruption::deadline:
+        if (has_stale_response_)
+        {
+            return {
+                refusal_reason::deadline, 502,
+                "the answer is not the replica's answer to this request"};
+        }
         return {refusal_reason::deadline, 504, "no answer in time"};
     case interruption::stop:
         return {refusal_reason::stopping, 502, "the daemon stops"};
@@ -221,6 +227,23 @@
         max_expected_retry_after);
 }
 
+auto exchange::examine(
+    replica const& at,
+    http::response_head const& head,
+    replica_response const& response,
+    bool is_on_kept_connection) -> response_proof
+{
+    record_subject(at, head, response, is_on_kept_connection);
+    auto const proof = proof_of(
+        head.status, response, {request.id, at.id, is_on_kept_connection});
+    has_stale_response_ = has_stale_response_ || proof == response_proof::stale;
+    if (proof == response_proof::not_executed)
+    {
+        log_rejection(at, head, response, is_on_kept_connection);
+    }
+    return proof;
+}
+
 auto exchange::record_subject(
     replica const& at,
     http::response_head const& head,
--- a/packages/relay/src/upstream_call.cpp
+++ b/packages/relay/src/upstream_call.cpp
@@ -72,34 +72,96 @@
 
 auto upstream_call::receive(std::string_view bytes) -> void
 {
-    auto const fed = parser_.feed(bytes);
-    if (!fed)
+    auto unread = std::string{};
+    auto next = bytes;
+    do
+    {
+        auto const fed = parser_.feed(next);
+        if (!fed)
+        {
+            fail({call_stage::answering, fed.error()});
+            return;
+        }
+        take_head();
+        take_body();
+        if (finished_ || !parser_.complete())
+        {
+            return;
+        }
+        if (!is_discarding_)
+        {
+            complete();
+            return;
+        }
+        unread = parser_.take_excess();
+        next = unread;
+        parser_ = http::response_parser{options_.is_head_request};
+        is_discarding_ = false;
+    } while (!unread.empty());
+}
+
+auto upstream_call::take_head() -> void
+{
+    if (head_delivered_ || is_discarding_ || !parser_.head())
     {
-        fail({call_stage::answering, fed.error()});
         return;
     }
-    deliver_body();
-    if (!finished_ && parser_.complete())
+    auto const& head = *parser_.head();
+    auto const use =
+        handlers_.examine ? handlers_.examine(head) : response_use::deliver;
+    if (finished_)
     {
-        complete();
+        return;
     }
-}
-
-auto upstream_call::deliver_body() -> void
-{
-    if (!head_delivered_ && parser_.head())
+    switch (use)
     {
+    case response_use::deliver:
         head_delivered_ = true;
         if (handlers_.answered)
         {
-            handlers_.answered(*parser_.head());
+            handlers_.answered(head);
         }
+        return;
+    case response_use::discard:
+        begin_discarding();
+        return;
+    case response_use::fail:
+        fail(
+            {call_stage::answering,
+             "the answer is not known to be about this request"});
+        return;
+    }
+}
+
+auto upstream_call::begin_discarding() -> void
+{
+    is_discarding_ = true;
+    if (++discarded_responses_ > max_discarded_responses)
+    {
+        fail(
+            {call_stage::answering,
+             "too many answers are about other requests"});
     }
-    if (finished_ || !head_delivered_)
+}
+
+auto upstream_call::take_body() -> void
+{
+    if (finished_ || !(head_delivered_ || is_discarding_))
     {
         return;
     }
     auto const body = parser_.take_body();
+    if (is_discarding_)
+    {
+        discarded_bytes_ += body.size();
+        if (discarded_bytes_ > max_discarded_bytes)
+        {
+            fail(
+                {call_stage::answering,
+                 "the answer to another request is too long"});
+        }
+        return;
+    }
     body_bytes_ += body.size();
     if (body_bytes_ > options_.max_body_bytes)
     {
@@ -118,7 +180,8 @@
     {
         return;
     }
-    if (how == connection_end::closed && parser_.ends_with_connection())
+    if (how == connection_end::closed && head_delivered_ &&
+        parser_.ends_with_connection())
     {
         parser_.feed_end();
         if (parser_.complete())
@@ -128,7 +191,7 @@
         }
     }
     fail(
-        {parser_.head() ? call_stage::answering : call_stage::waiting,
+        {head_delivered_ ? call_stage::answering : call_stage::waiting,
          how == connection_end::closed ? "the connection was closed"
                                        : "the connection broke",
          how != connection_end::broken});
@@ -139,7 +202,8 @@
     finished_ = true;
     auto const& head = *parser_.head();
     auto const held = std::exchange(connection_, nullptr);
-    auto const reusable = head.keep_alive && !parser_.has_excess() &&
+    auto const reusable = head.keep_alive && discarded_responses_ == 0 &&
+                          !parser_.has_excess() &&
                           !parser_.ends_with_connection() && held->is_open() &&
                           held->unsent_bytes() == 0;
     if (reusable)
--- a/test/correctness/relay/daemons_without_a_path_use_their_peers.cpp
+++ b/test/correctness/relay/daemons_without_a_path_use_their_peers.cpp
@@ -79,8 +79,11 @@
 {
     auto fleet = relay_fleet{3};
     auto full = fake_replica{
-        fleet.loop, [](auto const& from, http::request const&) {
-            from->respond(503, {{"X-Sapphirereel-Not-Executed", "1"}}, {});
+        fleet.loop, [](auto const& from, http::request const& request) {
+            auto fields = signed_fields(request);
+            fields.pop_back();
+            fields.push_back({"X-Sapphirereel-Not-Executed", "1"});
+            from->respond(503, fields, {});
         }};
     fleet.add("p1", "plain", full.port);
     ASSERT_TRUE(fleet.start());
