Responses of replicas: a status that promises proves nothing by itself

What callers saw: 503, 429 or 408 for requests that a replica had run (REFUSED without TWICE). Cause: on this platform these statuses promise that a request has not run and never will. A replica that ran a request and answered so without stating that it did not was passed on by its status. Fix: such a response proves nothing; a request that may run again is sent elsewhere, another one ends with 502 without the replica's signature.

--- a/packages/relay/include/sapphirereel/relay/response_attribution.hpp
+++ b/packages/relay/include/sapphirereel/relay/response_attribution.hpp
@@ -54,7 +54,12 @@
     bool is_on_kept_connection = false;
 };
 
-/// What a response proves.
+/// Whether a status tells callers that their request has not run and never
+/// will: 408, 421, 429 and 503.
+auto promises_not_executed(int status) -> bool;
+
+/// What a response proves. Where `replica_response::not_run` is not set, a
+/// status that promises that proves nothing.
 auto proof_of(
     int status,
     replica_response const& response,
--- a/packages/relay/src/response_attribution.cpp
+++ b/packages/relay/src/response_attribution.cpp
@@ -31,6 +31,12 @@
                : response_subject::another_request;
 }
 
+auto promises_not_executed(int status) -> bool
+{
+    return status == 408 || status == misdirected || status == 429 ||
+           status == 503;
+}
+
 auto proof_of(
     int status,
     replica_response const& response,
@@ -61,7 +67,8 @@
     {
         return response_proof::not_executed;
     }
-    return response_proof::failed;
+    return promises_not_executed(status) ? response_proof::nothing
+                                         : response_proof::failed;
 }
 
 auto use_of(response_proof proof) -> response_use
--- a/test/support/relay/stale_response_replica.hpp
+++ b/test/support/relay/stale_response_replica.hpp
@@ -87,6 +87,12 @@
         return raw_.port;
     }
 
+    /// Connections that callers have opened so far.
+    [[nodiscard]] auto opened_connections() const -> std::size_t
+    {
+        return raw_.opened_connections();
+    }
+
     /// Requests that were executed, by id.
     std::map<std::string, int> runs;
 
