Orders to move a run: a connection of their own

Cause: the response to an order bears no id. On a kept connection the response to an earlier request could be taken for it: a 404 for the end of the run, a 200 for a copy that does not exist. Fix: an order opens its connection. The test counts orders on connections that carried a request.

--- a/packages/relay/include/sapphirereel/relay/run_migrator.hpp
+++ b/packages/relay/include/sapphirereel/relay/run_migrator.hpp
@@ -243,7 +243,17 @@
                 {
                     handle_response(stop, answer);
                 }
-            });
+            },
+            own_connection());
+    }
+
+    /// The response bears no id, so that on a kept connection one to another
+    /// request could be taken for it.
+    static auto own_connection() -> call_options
+    {
+        auto options = call_options{};
+        options.max_idle = duration{0};
+        return options;
     }
 
     /// Tries again until the replica's limit permits the request or the replica
