Peers: only their own statement says that nothing ran

Cause: any unsigned 503 of a peer was taken for the peer's own refusal; a peer may have passed on what a replica wrote. Fix: a peer that refuses a forwarded request says so with the request's id (Sapphirereel-Refused-By-Peer), which is not passed on to callers; any other promise of a peer counts as 'may have run'. A peer of an earlier version does not say so: its refusals of requests that may run once end with 502 while both versions run.

--- a/packages/relay/include/sapphirereel/relay/exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/exchange.hpp
@@ -286,11 +286,20 @@
     time_point sent_at,
     time_point now) -> void;
 
+/// A request that is refused.
+struct refused_request
+{
+    std::string_view id;
+    /// Whether a peer has forwarded it, which then is told that this daemon and
+    /// no replica refuses it.
+    bool is_forwarded = false;
+};
+
 /// Responds to a request that is not served.
 auto send_refusal(
     caller_session& caller,
     refusal const& why,
-    std::string_view request_id,
+    refused_request const& request,
     relay_state& state) -> void;
 
 /// The address of a replica; none if its record holds no valid address.
--- a/packages/relay/include/sapphirereel/relay/forward_target.hpp
+++ b/packages/relay/include/sapphirereel/relay/forward_target.hpp
@@ -11,6 +11,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace sapphirereel::relay {
@@ -19,6 +20,11 @@
 /// is the peer's address. Such a request is not forwarded again.
 inline constexpr auto forwarded_by_name = "Sapphirereel-Forwarded-By";
 
+/// Name of the field with which a peer states that it has refused a forwarded
+/// request itself, and that no replica runs it; its value is the request's id.
+inline constexpr auto refused_by_peer_name =
+    std::string_view{"Sapphirereel-Refused-By-Peer"};
+
 /// What a request that is forwarded requires of a peer.
 struct forward_need
 {
--- a/packages/relay/include/sapphirereel/relay/forwarded_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/forwarded_exchange.hpp
@@ -148,11 +148,26 @@
             {[self](http::response_head const& head) { self->head_ = head; },
              [self](std::string const& body) { self->receive(body); },
              [self] { self->completed(); },
-             [self](call_failure const& why) {
-                 self->attempt_failed(why);
+             [self](call_failure const& why) { self->attempt_failed(why); },
+             [self](http::response_head const& head) {
+                 return self->examine(head);
              }});
     }
 
+    /// Decides what the peer's response proves. Only the peer's own word tells
+    /// that no replica has run the request: a replica's refusal that the peer
+    /// passes on need not be about it.
+    auto examine(http::response_head const& head) -> response_use
+    {
+        auto answer = Format::read_response(head);
+        answer.not_run = http::find(head.fields, refused_by_peer_name) ==
+                         std::optional<std::string_view>{exchange_.request.id};
+        proof_ = proof_of(head.status, answer, {exchange_.request.id, {}});
+        auto const is_unproved_success =
+            proof_ == response_proof::nothing && head.status / 100 == 2;
+        return is_unproved_success ? response_use::fail : use_of(proof_);
+    }
+
     auto end_attempt() -> void
     {
         call_.reset();
@@ -297,11 +312,7 @@
         {
             return;
         }
-        auto const answer = Format::read_response(*head_);
-        auto const is_peers_refusal = head_->status == 503 &&
-                                      !answer.is_signed &&
-                                      (!has_begun_ || may_resume());
-        if (is_peers_refusal)
+        if (proof_ == response_proof::not_executed)
         {
             exchange_.state.log.request(
                 exchange_.request.id, "refused by a peer",
@@ -311,6 +322,13 @@
             attempt();
             return;
         }
+        if (proof_ == response_proof::nothing)
+        {
+            attempt_failed(
+                {call_stage::answering,
+                 "the peer does not say whether the request has run"});
+            return;
+        }
         if (is_cut_off())
         {
             attempt_failed(
@@ -350,8 +368,12 @@
     auto respond(http::response const& answer) -> void
     {
         auto const needs_head_only = exchange_.request.method == "HEAD";
+        auto fields = Format::response_fields(answer.head);
+        std::erase_if(fields, [](http::field const& each) {
+            return http::same_name(each.name, refused_by_peer_name);
+        });
         exchange_.caller->respond(
-            answer.head.status, Format::response_fields(answer.head),
+            answer.head.status, std::move(fields),
             needs_head_only ? std::string{} : answer.body);
     }
 
@@ -455,6 +477,8 @@
     std::set<std::string> tried_;
     bool is_counted_ = false;
     std::optional<http::response_head> head_;
+    /// What the peer's response proves.
+    response_proof proof_ = response_proof::nothing;
     std::string body_;
     /// The events of a resumable stream.
     event_splitter splitter_;
--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -301,7 +301,8 @@
         auto granted = admit(state_.table, *read, telemetry::monotonic_now());
         if (!granted)
         {
-            send_refusal(*from, granted.error(), read->id, state_);
+            send_refusal(
+                *from, granted.error(), {read->id, is_forwarded}, state_);
             return;
         }
         if (auto const invalid = check_position(*granted->route, *read))
@@ -314,27 +315,27 @@
         state_.parts.record_request(read->prompt_parts, now);
         if (crashes_replicas(*read, *granted))
         {
-            refuse_poison(*from, *read);
+            refuse_poison(*from, {read->id, is_forwarded});
             return;
         }
         if (!accepts_now(*granted, now))
         {
             send_refusal(
                 *from, {refusal_reason::stopping, 503, retry_elsewhere_after},
-                read->id, state_);
+                {read->id, is_forwarded}, state_);
             return;
         }
         if (state_.open_exchanges->size() >= max_active_requests)
         {
             send_refusal(
                 *from, {refusal_reason::overload, 503, std::chrono::seconds{1}},
-                read->id, state_);
+                {read->id, is_forwarded}, state_);
             return;
         }
         // Last, so that a request that is a trial runs.
         if (has_poison_part(*read, *granted, now))
         {
-            refuse_poison(*from, *read);
+            refuse_poison(*from, {read->id, is_forwarded});
             return;
         }
         if (granted->route->kind == request_kind::stream)
@@ -369,12 +370,12 @@
                    request_fingerprint(request, terms.customer));
     }
 
-    auto refuse_poison(caller_session& from, caller_request const& request)
+    auto refuse_poison(caller_session& from, refused_request const& request)
         -> void
     {
         send_refusal(
             from, {refusal_reason::crashes_replicas, 503, poison_retry_after},
-            request.id, state_);
+            request, state_);
     }
 
     /// Whether a part of the request's prompt crashes replicas; marks the
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -1,6 +1,7 @@
 #include "sapphirereel/relay/exchange.hpp"
 
 #include "sapphirereel/relay/evacuation.hpp"
+#include "sapphirereel/relay/forward_target.hpp"
 
 namespace sapphirereel::relay {
 
@@ -199,7 +200,8 @@
     }
     deadline_timer.cancel();
     auto const wait = retry_after ? *retry_after : default_retry_after(why);
-    send_refusal(*caller, {why, 503, wait}, request.id, state);
+    send_refusal(
+        *caller, {why, 503, wait}, {request.id, granted.is_forwarded}, state);
 }
 
 auto exchange::default_retry_after(refusal_reason why) -> duration
@@ -495,7 +497,7 @@
 auto send_refusal(
     caller_session& caller,
     refusal const& why,
-    std::string_view request_id,
+    refused_request const& request,
     relay_state& state) -> void
 {
     state.metrics.refused(why.reason);
@@ -514,7 +516,12 @@
         fields.push_back({"Retry-After", fmt::format("{:.2f}", seconds)});
         logged.emplace_back("retry_after", *why.retry_after);
     }
-    state.log.request(request_id, "refused, not executed", std::move(logged));
+    if (request.is_forwarded && promises_not_executed(why.status))
+    {
+        fields.push_back(
+            {std::string{refused_by_peer_name}, std::string{request.id}});
+    }
+    state.log.request(request.id, "refused, not executed", std::move(logged));
     caller.respond(why.status, std::move(fields), name_of(why.reason));
 }
 
