--- a/test/correctness/relay/statuses_that_promise_are_not_passed_on.cpp
+++ b/test/correctness/relay/statuses_that_promise_are_not_passed_on.cpp
@@ -1,5 +1,6 @@
-// A replica runs a request and answers 503, 429 or 408 without stating that it
-// did not run it. The status alone would promise the caller that nothing ran.
+// A replica runs a request and answers 503, 429, 408 or 421 without stating
+// that it did not run it. The status alone would promise the caller that
+// nothing ran.
 #include "support/relay/relay_fixture.hpp"
 
 #include <gtest/gtest.h>
@@ -35,7 +36,7 @@
 auto all_cases() -> std::vector<answer_case>
 {
     auto cases = std::vector<answer_case>{};
-    for (auto const status : {503, 429, 408})
+    for (auto const status : {503, 429, 408, 421})
     {
         for (auto const is_signed : {false, true})
         {
