What follows a response that proves nothing

Found by review of the fix: - a new connection on which a response to another request came counts as one that may carry more, so that an unnamed refusal on it is not believed (test stale_refusal.without_an_id_is_not_believed_after_one_with_an_id); - a failure without the replica's signature is not its result, for plain requests as for streams; a peer's own failure needs none; - a stale response that a peer passes on fails the attempt, as no other follows it; - a response that proves nothing is no silence of the path and no crash, and one that names the request does not put its replica into cooldown; - orders and HEAD requests have connections that are not shared at all.

--- a/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
@@ -192,6 +192,8 @@
              {"left", left}});
         head_.reset();
         body_.clear();
+        proof_ = response_proof::nothing;
+        has_replica_responded_ = false;
         auto options = call_options{};
         options.is_head_request = exchange_.request.method == "HEAD";
         if (!is_idempotent())
@@ -222,14 +224,9 @@
         exchange_.record_path_response();
         proof_ = exchange_.examine(
             target_, head, Format::read_response(head),
-            call_->is_on_kept_connection());
-        auto const use = use_of(proof_);
-        if (use == response_use::fail)
-        {
-            // The replica has responded, though not to this request.
-            head_ = head;
-        }
-        return use;
+            call_->may_carry_other_responses());
+        has_replica_responded_ = true;
+        return use_of(proof_);
     }
 
     /// Limits the time of an attempt if another one may follow.
@@ -285,9 +282,8 @@
         auto const is_success = proof_ == response_proof::succeeded;
         if (!is_success && proof_ != response_proof::failed)
         {
-            attempt_failed(
-                {call_stage::answering,
-                 "the answer is not the replica's answer to this request"});
+            end_without_result(
+                "the answer is not the replica's answer to this request");
             return;
         }
         exchange_.state.replicas.succeeded(target_.id);
@@ -333,12 +329,11 @@
         }
         auto const now = telemetry::monotonic_now();
         exchange_.state.replicas.failed(target_.id, now);
-        if (!head_)
+        if (!has_replica_responded_)
         {
             exchange_.record_path_failure(target_.id, now);
         }
-        exchange_.attribute_crash(target_, why, head_.has_value(), now);
-        exchange_.excluded.insert(target_.id);
+        exchange_.attribute_crash(target_, why, has_replica_responded_, now);
         exchange_.state.log.request(
             exchange_.request.id, "attempt failed",
             {{"replica", target_.id},
@@ -354,9 +349,16 @@
         has_ended_connection_ =
             has_ended_connection_ ||
             (why.connection_ended && why.stage != call_stage::connecting);
+        end_without_result(why.detail);
+    }
+
+    /// Makes another attempt, or gives up where the request may not run again.
+    auto end_without_result(std::string_view why) -> void
+    {
+        exchange_.excluded.insert(target_.id);
         if (!may_run_again())
         {
-            give_up(refusal_reason::no_replica, 502, why.detail);
+            give_up(refusal_reason::no_replica, 502, why);
             return;
         }
         attempt();
@@ -412,7 +414,8 @@
     auto record_silence() -> void
     {
         auto const now = telemetry::monotonic_now();
-        if (call_ && !head_ && now - sent_at_ >= min_silence_of_failure)
+        if (call_ && !has_replica_responded_ &&
+            now - sent_at_ >= min_silence_of_failure)
         {
             exchange_.record_path_failure(target_.id, now);
         }
@@ -465,6 +468,8 @@
     /// Whether a replica has ended a connection that carried the request.
     bool has_ended_connection_ = false;
     std::optional<http::response_head> head_;
+    /// Whether the replica has written a response since the attempt began.
+    bool has_replica_responded_ = false;
     /// What the response proves.
     response_proof proof_ = response_proof::nothing;
     std::string body_;
--- a/packages/relay/include/sapphirereel/relay/exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/exchange.hpp
@@ -133,7 +133,7 @@
         replica const& at,
         http::response_head const& head,
         replica_response const& response,
-        bool is_on_kept_connection) -> response_proof;
+        bool may_be_about_another) -> response_proof;
 
     /// The refusal and the error status with which an interruption ends this
     /// request.
@@ -249,14 +249,14 @@
         replica const& at,
         http::response_head const& head,
         replica_response const& response,
-        bool is_on_kept_connection) -> void;
+        bool may_be_about_another) -> void;
 
     /// Logs that a replica states that it has not executed the request.
     auto log_rejection(
         replica const& at,
         http::response_head const& head,
         replica_response const& response,
-        bool is_on_kept_connection) -> void;
+        bool may_be_about_another) -> void;
 
     /// Whether a peer may take the request.
     [[nodiscard]] auto may_forward(time_point now) const -> bool;
--- a/packages/relay/include/sapphirereel/relay/forwarded_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/forwarded_exchange.hpp
@@ -160,12 +160,19 @@
     auto examine(http::response_head const& head) -> response_use
     {
         auto answer = Format::read_response(head);
-        answer.not_run = http::find(head.fields, refused_by_peer_name) ==
-                         std::optional<std::string_view>{exchange_.request.id};
-        proof_ = proof_of(head.status, answer, {exchange_.request.id, {}});
+        answer.not_run =
+            promises_not_executed(head.status) &&
+            http::find(head.fields, refused_by_peer_name) ==
+                std::optional{std::string_view{exchange_.request.id}};
+        proof_ = proof_of(
+            head.status, answer, {exchange_.request.id, {}, false, true});
         auto const is_unproved_success =
             proof_ == response_proof::nothing && head.status / 100 == 2;
-        return is_unproved_success ? response_use::fail : use_of(proof_);
+        // A peer writes one response: none follows a stale one that it passes
+        // on.
+        return is_unproved_success || proof_ == response_proof::stale
+                   ? response_use::fail
+                   : response_use::deliver;
     }
 
     auto end_attempt() -> void
--- a/packages/relay/include/sapphirereel/relay/response_attribution.hpp
+++ b/packages/relay/include/sapphirereel/relay/response_attribution.hpp
@@ -50,8 +50,11 @@
     std::string_view request_id;
     /// The replica that was addressed; empty if it was none.
     endpoint_id replica;
-    /// Whether the connection carried other requests before.
-    bool is_on_kept_connection = false;
+    /// Whether a response to another request may arrive on the connection.
+    bool may_be_about_another = false;
+    /// Whether a failure needs no signature, as a daemon's own.
+    bool is_from_peer = false;
+    auto operator<=>(expected_response const&) const = default;
 };
 
 /// Whether a status tells callers that their request has not run and never
--- a/packages/relay/include/sapphirereel/relay/run_migrator.hpp
+++ b/packages/relay/include/sapphirereel/relay/run_migrator.hpp
@@ -252,7 +252,7 @@
     static auto own_connection() -> call_options
     {
         auto options = call_options{};
-        options.max_idle = duration{0};
+        options.has_own_connection = true;
         return options;
     }
 
--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -424,6 +424,8 @@
         auto const memory = need().memory_tokens;
         splitter_ = {};
         head_.reset();
+        proof_ = response_proof::nothing;
+        has_replica_responded_ = false;
         failure_body_.clear();
         auto const position = resumed ? std::nullopt : events_.last_number();
         if (may_resume())
@@ -557,7 +559,8 @@
         exchange_.record_path_response();
         proof_ = exchange_.examine(
             target_, head, Format::read_response(head),
-            call_->is_on_kept_connection());
+            call_->may_carry_other_responses());
+        has_replica_responded_ = true;
         return use_of(proof_);
     }
 
@@ -853,7 +856,10 @@
             return;
         }
         exchange_.state.replicas.failed(target_.id, now);
-        exchange_.record_path_failure(target_.id, now);
+        if (proof_ != response_proof::unattributable)
+        {
+            exchange_.record_path_failure(target_.id, now);
+        }
         auto const has_output =
             events_.has_begun() &&
             (events_.has_run_begun() || resumption_.is_resuming());
@@ -996,8 +1002,8 @@
     auto record_silence() -> void
     {
         auto const now = telemetry::monotonic_now();
-        auto const is_silent =
-            call_ && !head_ && now - sent_at_ >= min_silence_of_stream;
+        auto const is_silent = call_ && !has_replica_responded_ &&
+                               now - sent_at_ >= min_silence_of_stream;
         if (is_silent)
         {
             exchange_.record_path_failure(target_.id, now);
@@ -1072,6 +1078,8 @@
     /// copy, and has produced no event yet.
     bool is_sent_again_ = false;
     bool is_complete_ = false;
+    /// Whether the replica has written a response since the run was sent to it.
+    bool has_replica_responded_ = false;
     bool has_waited_for_pace_ = false;
 };
 
--- a/packages/relay/include/sapphirereel/relay/upstream_call.hpp
+++ b/packages/relay/include/sapphirereel/relay/upstream_call.hpp
@@ -69,8 +69,13 @@
     duration max_idle{std::chrono::seconds{4}};
     /// Timeout for establishing a new connection.
     duration connect_timeout{std::chrono::milliseconds{300}};
-    /// Whether the request's method is HEAD.
+    /// Whether the request's method is HEAD. Such a call has a connection of
+    /// its own: by their methods alone the bodies of two responses are told
+    /// apart.
     bool is_head_request = false;
+    /// Whether the call has a connection of its own, as its response does not
+    /// name its request.
+    bool has_own_connection = false;
     /// Largest body of the response, in bytes; a longer one fails the call.
     std::size_t max_body_bytes = default_max_body_bytes;
     auto operator<=>(call_options const&) const = default;
@@ -101,11 +106,11 @@
     auto pause() -> void;
     auto resume() -> void;
 
-    /// Whether the connection carried other calls before this one, so that a
-    /// response to one of those may arrive on it.
-    [[nodiscard]] auto is_on_kept_connection() const -> bool
+    /// Whether a response to another request may arrive: the connection carried
+    /// other calls before this one, or such a response has come already.
+    [[nodiscard]] auto may_carry_other_responses() const -> bool
     {
-        return is_on_kept_connection_;
+        return is_on_kept_connection_ || discarded_responses_ > 0;
     }
 
 private:
@@ -124,6 +129,7 @@
     auto take_head() -> void;
     auto take_body() -> void;
     auto begin_discarding() -> void;
+    [[nodiscard]] auto may_share_connection() const -> bool;
     auto complete() -> void;
     auto fail(call_failure const& why) -> void;
 
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -233,15 +233,15 @@
     replica const& at,
     http::response_head const& head,
     replica_response const& response,
-    bool is_on_kept_connection) -> response_proof
+    bool may_be_about_another) -> response_proof
 {
-    record_subject(at, head, response, is_on_kept_connection);
+    record_subject(at, head, response, may_be_about_another);
     auto const proof = proof_of(
-        head.status, response, {request.id, at.id, is_on_kept_connection});
+        head.status, response, {request.id, at.id, may_be_about_another});
     has_stale_response_ = has_stale_response_ || proof == response_proof::stale;
     if (proof == response_proof::not_executed)
     {
-        log_rejection(at, head, response, is_on_kept_connection);
+        log_rejection(at, head, response, may_be_about_another);
     }
     return proof;
 }
@@ -250,13 +250,13 @@
     replica const& at,
     http::response_head const& head,
     replica_response const& response,
-    bool is_on_kept_connection) -> void
+    bool may_be_about_another) -> void
 {
     auto const subject = subject_of(response, request.id);
-    auto const may_be_about_another =
+    auto const is_doubtful =
         subject == response_subject::another_request ||
-        (subject == response_subject::unnamed && is_on_kept_connection);
-    if (!may_be_about_another)
+        (subject == response_subject::unnamed && may_be_about_another);
+    if (!is_doubtful)
     {
         return;
     }
@@ -271,21 +271,21 @@
          {"names", std::string{name_of(subject)}},
          {"named_request", response.request_id},
          {"not_executed", response.not_run},
-         {"kept_connection", is_on_kept_connection}});
+         {"kept_connection", may_be_about_another}});
 }
 
 auto exchange::log_rejection(
     replica const& at,
     http::response_head const& head,
     replica_response const& response,
-    bool is_on_kept_connection) -> void
+    bool may_be_about_another) -> void
 {
     state.log.request(
         request.id, "rejected by the replica",
         {{"replica", at.id},
          {"status", head.status},
          {"names", std::string{name_of(subject_of(response, request.id))}},
-         {"kept_connection", is_on_kept_connection}});
+         {"kept_connection", may_be_about_another}});
 }
 
 auto exchange::record_path_response() -> void
--- a/packages/relay/src/response_attribution.cpp
+++ b/packages/relay/src/response_attribution.cpp
@@ -52,7 +52,7 @@
         return response_proof::not_executed;
     }
     auto const is_named = subject == response_subject::this_request;
-    if (!is_named && expected.is_on_kept_connection)
+    if (!is_named && expected.may_be_about_another)
     {
         return response_proof::unattributable;
     }
@@ -67,8 +67,9 @@
     {
         return response_proof::not_executed;
     }
-    return promises_not_executed(status) ? response_proof::nothing
-                                         : response_proof::failed;
+    auto const is_result = !promises_not_executed(status) &&
+                           (response.is_signed || expected.is_from_peer);
+    return is_result ? response_proof::failed : response_proof::nothing;
 }
 
 auto use_of(response_proof proof) -> response_use
--- a/packages/relay/src/upstream_call.cpp
+++ b/packages/relay/src/upstream_call.cpp
@@ -197,13 +197,18 @@
          how != connection_end::broken});
 }
 
+auto upstream_call::may_share_connection() const -> bool
+{
+    return !options_.is_head_request && !options_.has_own_connection;
+}
+
 auto upstream_call::complete() -> void
 {
     finished_ = true;
     auto const& head = *parser_.head();
     auto const held = std::exchange(connection_, nullptr);
-    auto const reusable = head.keep_alive && discarded_responses_ == 0 &&
-                          !parser_.has_excess() &&
+    auto const reusable = may_share_connection() && head.keep_alive &&
+                          discarded_responses_ == 0 && !parser_.has_excess() &&
                           !parser_.ends_with_connection() && held->is_open() &&
                           held->unsent_bytes() == 0;
     if (reusable)
@@ -298,7 +303,9 @@
 {
     auto call = std::shared_ptr<upstream_call>{new upstream_call{
         *this, to, std::move(bytes), options, std::move(callbacks)}};
-    if (auto held = take_idle(to, options.max_idle))
+    auto held = call->may_share_connection() ? take_idle(to, options.max_idle)
+                                             : nullptr;
+    if (held)
     {
         call->is_on_kept_connection_ = true;
         // Posted to the event loop, so that no handler runs before the caller
--- a/test/correctness/relay/refusals_of_other_requests_are_not_believed.cpp
+++ b/test/correctness/relay/refusals_of_other_requests_are_not_believed.cpp
@@ -112,5 +112,27 @@
     expect_one_run(with, "/once/a");
 }
 
+// A connection that has carried one response to another request may carry
+// more, though it is new.
+TEST(stale_refusal, without_an_id_is_not_believed_after_one_with_an_id)
+{
+    auto world = relay_fixture{};
+    auto runs = 0;
+    auto const serve = [&runs](connection& to, std::string const&) {
+        ++runs;
+        to.send(refusal_of("r0") + refusal_of({}));
+    };
+    auto one = raw_replica{world.loop, serve};
+    auto two = raw_replica{world.loop, serve};
+    world.configure(1);
+    world.add_at("one", "engine", one.port);
+    world.add_at("two", "engine", two.port);
+    ASSERT_TRUE(world.start());
+    auto const answer = world.send_request("POST", "/stream/a");
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->head.status, 502);
+    EXPECT_EQ(runs, 1);
+}
+
 } // namespace
 } // namespace sapphirereel::relay::test
--- a/test/correctness/relay/responses_prove_little.cpp
+++ b/test/correctness/relay/responses_prove_little.cpp
@@ -15,9 +15,9 @@
     return response;
 }
 
-auto expected(bool is_on_kept_connection) -> expected_response
+auto expected(bool may_be_about_another) -> expected_response
 {
-    return {"r1", endpoint_id{"i-1"}, is_on_kept_connection};
+    return {"r1", endpoint_id{"i-1"}, may_be_about_another};
 }
 
 RC_GTEST_PROP(
