--- a/packages/codec/include/sapphirereel/codec/url_path.hpp
+++ b/packages/codec/include/sapphirereel/codec/url_path.hpp
@@ -1,5 +1,6 @@
 /// \file
-/// Defines how paths of the callers' API are taken apart.
+/// Defines how paths of the callers' API are taken apart, and the escapes of
+/// texts in paths and queries.
 #ifndef SAPPHIREREEL_CODEC_URL_PATH_HPP
 #define SAPPHIREREEL_CODEC_URL_PATH_HPP
 
@@ -27,6 +28,10 @@
 /// Decodes `%XX` escapes; nothing if one is cut or not hexadecimal.
 auto decode_percent(std::string_view text) -> std::optional<std::string>;
 
+/// Writes all bytes as `%XX` escapes but letters, digits, `-`, `.`, `_`, `~`
+/// and `/`, so that a text can stand as a value in a query.
+auto encode_percent(std::string_view text) -> std::string;
+
 } // namespace sapphirereel::codec
 
 #endif
--- a/packages/codec/src/url_path.cpp
+++ b/packages/codec/src/url_path.cpp
@@ -8,6 +8,15 @@
 
 constexpr auto services_prefix = std::string_view{"/services/"};
 constexpr auto hexadecimal = 16;
+constexpr auto hexadecimal_digits = std::string_view{"0123456789ABCDEF"};
+
+/// Whether a byte stands for itself as part of a query's value.
+auto is_plain_in_query(char c) -> bool
+{
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+           (c >= '0' && c <= '9') ||
+           std::string_view{"-._~/"}.find(c) != std::string_view::npos;
+}
 
 auto decode_escape(std::string_view digits) -> std::optional<char>
 {
@@ -45,6 +54,24 @@
     return decoded;
 }
 
+auto encode_percent(std::string_view text) -> std::string
+{
+    auto encoded = std::string{};
+    for (auto const c : text)
+    {
+        if (is_plain_in_query(c))
+        {
+            encoded += c;
+            continue;
+        }
+        auto const byte = static_cast<unsigned char>(c);
+        encoded += '%';
+        encoded += hexadecimal_digits[byte / hexadecimal];
+        encoded += hexadecimal_digits[byte % hexadecimal];
+    }
+    return encoded;
+}
+
 auto split_service_path(std::string_view target) -> std::optional<service_path>
 {
     if (!target.starts_with(services_prefix))
