Copies of peers: long odd entries no longer keep later ones back

What operators would see: a daemon that has its entries from peers takes up no later replica while entries of another writer, together more than 8 MiB, are in the log: each fetch of a peer's copy fails as too long (LOST where no listed replica is left). Cause: the copy held each value in whole, however long, and a peer's copy carries all of them. Fix: a copy keeps the first 64 KiB of a value in the replicas' stream. The first part of a longer value is no JSON object, unless only white space follows, so that the entry names no replica as before. Values of the configuration's stream are kept in whole.

--- a/packages/relay/include/sapphirereel/relay/log_follower.hpp
+++ b/packages/relay/include/sapphirereel/relay/log_follower.hpp
@@ -14,6 +14,7 @@
 #include <asio/steady_timer.hpp>
 #include <concepts>
 #include <functional>
+#include <limits>
 #include <random>
 #include <string>
 #include <tl/expected.hpp>
@@ -32,6 +33,18 @@
 /// The name of a stream in log lines.
 auto name_of(keyed_stream stream) -> std::string_view;
 
+/// Most bytes of a replica's record. No replica writes as many; records of
+/// other writers that are longer must not make peers' copies too long to fetch.
+inline constexpr auto max_replica_record_bytes = std::size_t{65'536};
+
+/// Most bytes that a copy keeps of a value in a stream.
+constexpr auto max_value_bytes(keyed_stream stream) -> std::size_t
+{
+    return stream == keyed_stream::replicas
+               ? max_replica_record_bytes
+               : std::numeric_limits<std::size_t>::max();
+}
+
 /// Records of a keyed stream.
 struct keyed_page
 {
@@ -114,7 +127,7 @@
         , timer_(loop)
         , random_(seed)
         , callbacks_(std::move(handlers))
-        , cache_(std::move(is_renewal))
+        , cache_(std::move(is_renewal), max_value_bytes(stream))
     {}
 
     /// Reads the log for the first time after `delay`. A peer's copy that
--- a/packages/relay/include/sapphirereel/relay/record_cache.hpp
+++ b/packages/relay/include/sapphirereel/relay/record_cache.hpp
@@ -8,7 +8,9 @@
 
 #include "sapphirereel/relay/log_position.hpp"
 
+#include <cstddef>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -38,8 +40,11 @@
     /// A copy in which every record is a change.
     record_cache() = default;
 
-    /// A copy in which records that `is_renewal` accepts are not changes.
-    explicit record_cache(renewal_test is_renewal);
+    /// A copy in which records that `is_renewal` accepts are not changes, and
+    /// which keeps the first `max_value_bytes` of longer values.
+    explicit record_cache(
+        renewal_test is_renewal,
+        std::size_t max_value_bytes = std::numeric_limits<std::size_t>::max());
 
     /// Applies consecutive records of the log up to `next`. Returns whether the
     /// copy changed.
@@ -90,7 +95,10 @@
 
     auto apply_record(keyed_record const& record) -> bool;
 
+    [[nodiscard]] auto cut_to_limit(keyed_record record) const -> keyed_record;
+
     renewal_test is_renewal_;
+    std::size_t max_value_bytes_ = std::numeric_limits<std::size_t>::max();
     std::map<std::string, held_record> records_;
     log_position next_;
     log_position changed_until_;
--- a/packages/relay/src/record_cache.cpp
+++ b/packages/relay/src/record_cache.cpp
@@ -6,10 +6,21 @@
 
 namespace sapphirereel::relay {
 
-record_cache::record_cache(renewal_test is_renewal)
+record_cache::record_cache(renewal_test is_renewal, std::size_t max_value_bytes)
     : is_renewal_(std::move(is_renewal))
+    , max_value_bytes_(max_value_bytes)
 {}
 
+auto record_cache::cut_to_limit(keyed_record record) const -> keyed_record
+{
+    if (record.value && record.value->size() > max_value_bytes_)
+    {
+        record.value->resize(max_value_bytes_);
+        record.value->shrink_to_fit();
+    }
+    return record;
+}
+
 auto record_cache::apply_record(keyed_record const& record) -> bool
 {
     auto const held = records_.find(record.key);
@@ -23,16 +34,17 @@
     {
         return false;
     }
-    auto const renews = is_held && is_renewal_ && record.value &&
+    auto kept = cut_to_limit(record);
+    auto const renews = is_held && is_renewal_ && kept.value &&
                         held->second.newest.value &&
-                        is_renewal_(held->second.newest, record);
+                        is_renewal_(held->second.newest, kept);
     if (renews)
     {
-        held->second.newest = record;
+        held->second.newest = std::move(kept);
         return false;
     }
-    auto const is_change = is_held || record.value.has_value();
-    records_[record.key] = {record, record.position};
+    auto const is_change = is_held || kept.value.has_value();
+    records_[record.key] = {std::move(kept), record.position};
     changed_until_ = std::max(changed_until_, record.position.following());
     return is_change;
 }
