Generation coordinator: actions, placement and poison in a file each

generation_coordinator.cpp keeps the inputs and the records of open generations. The reception of a new generation and the reports of crashes are source files of their own; both coordinators use the same report of a completion. Behaviour is unchanged.

--- a/packages/composition/src/call_coordinator.cpp
+++ b/packages/composition/src/call_coordinator.cpp
@@ -1,5 +1,6 @@
 #include "sapphirereel/composition/call_coordinator.hpp"
 
+#include "crash_report.hpp"
 #include "sapphirereel/composition/unroutable.hpp"
 #include "sapphirereel/core/invariant.hpp"
 #include "sapphirereel/core/rendezvous.hpp"
@@ -352,12 +353,7 @@
 {
     ++counts_.answered;
     budget_for(call.request.facts.service, now).succeeded(now);
-    auto const cleared =
-        context.poison_detector.record_completion(call.request.body, now);
-    if (cleared)
-    {
-        broadcast(context.cluster, *cleared, outputs);
-    }
+    report_completion(call.request.body, context, now, outputs);
     if (call.repeatable)
     {
         outputs.emplace_back(
