Soak: replicas that repeat refusals, answer unmarked, cut heads or write late

Several replicas have one at a time. A 421 names the request and the replica, as the platform's do. A status that promises 'not run' counts as broken also if a replica signed it. Odd entries of another writer among the replicas' records are followed by a killed and restarted daemon; a request that expects such an entry is found.

--- a/test/correctness/soak/promises_test.py
+++ b/test/correctness/soak/promises_test.py
@@ -1,12 +1,14 @@
 """Each promise of the soak is found broken where it is, and kept where it is not."""
 
 import os
+import random
 import sys
 import unittest
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "..", "..", "tools", "soak.d"))
 
+import odd_entries  # noqa: E402
 import promises  # noqa: E402
 from callers import Outcome  # noqa: E402
 from replicas import Replica, Run  # noqa: E402
@@ -36,6 +38,8 @@
         refused = outcome(status=503, signature="")
         self.assertFalse(found(promises.refused_and_run, refused, []))
         self.assertTrue(found(promises.refused_and_run, refused, [run()]))
+        signed = outcome(status=503)
+        self.assertTrue(found(promises.refused_and_run, signed, [run(status=503)]))
         promised_nothing = outcome(status=502, signature="")
         self.assertFalse(found(promises.refused_and_run, promised_nothing, [run()]))
 
@@ -95,6 +99,19 @@
         self.assertFalse(late(107.9, outages))
         self.assertTrue(late(108.1, outages))
 
+    def test_odd_entries_get_no_requests(self):
+        def reached(wanted):
+            replica = Replica("plain", "z", {})
+            replica.misdirected = [wanted]
+            return list(promises.reached_by_odd_entries([replica]))
+
+        entries = odd_entries.of(random.Random(1), ["127.0.0.1:1"])
+        keys = [key for key, _ in entries]
+        unusable = [key for key in keys if odd_entries.names_no_replica(key)]
+        self.assertTrue(unusable)
+        self.assertTrue(all(reached(key) for key in unusable))
+        self.assertFalse(reached("i-0001"))
+
     def test_cold_replicas_get_few_requests_in_any_second(self):
         def too_many(arrivals):
             replica = Replica("plain", "z", {})
--- a/tools/soak.d/promises.py
+++ b/tools/soak.d/promises.py
@@ -3,6 +3,7 @@
 import math
 from dataclasses import dataclass
 
+import odd_entries
 import replicas as serving
 
 # Bounds of this deployment, in seconds.
@@ -64,7 +65,8 @@
 
 def refused_and_run(outcomes, ledger):
     for got in outcomes:
-        is_promise = got.status in NOT_RUN and not got.signature
+        # Who made the answer doesn't matter: the status is the promise.
+        is_promise = got.status in NOT_RUN
         if got.kind != "safe" and is_promise and got.id in ledger:
             yield f"{got.kind} {got.id} got {got.status} of {got.daemon} and ran"
 
@@ -128,6 +130,13 @@
                     )
 
 
+def reached_by_odd_entries(replicas):
+    for replica in replicas:
+        for wanted in replica.misdirected:
+            if odd_entries.names_no_replica(wanted):
+                yield f"{replica.id} got a request for {wanted}, which names no replica"
+
+
 def too_many_while_cold(replicas):
     for replica in replicas:
         for start, end in replica.cold_spans:
--- a/tools/soak.d/proxy.py
+++ b/tools/soak.d/proxy.py
@@ -28,12 +28,17 @@
         except OSError:
             writer.transport.abort()
             return
-        self._links |= {writer, to_writer}
-        await asyncio.gather(
-            self._pass(reader, to_writer, "cut_out"),
-            self._pass(to_reader, writer, "cut_back"),
-        )
-        self._links -= {writer, to_writer}
+        ends = {writer, to_writer}
+        self._links |= ends
+        try:
+            await asyncio.gather(
+                self._pass(reader, to_writer, "cut_out"),
+                self._pass(to_reader, writer, "cut_back"),
+            )
+        finally:
+            self._links -= ends
+            for each in ends:
+                each.close()
 
     async def _pass(self, reader, writer, silenced_by):
         try:
--- a/tools/soak.d/replicas.py
+++ b/tools/soak.d/replicas.py
@@ -6,8 +6,10 @@
 import time
 from dataclasses import dataclass
 
+import faulty_answers
 import http11
 import store as platform
+from faulty_answers import Earlier
 from proxy import Proxy
 
 EVENTS = 30
@@ -36,14 +38,14 @@
 
 
 class Replica:
-    def __init__(self, service, zone, ledger, is_cold=False):
+    def __init__(self, service, zone, ledger, is_cold=False, seed=0):
         self.id = f"i-{next(_numbers):04d}"
         self.service = service
         self.zone = zone
         # Runs of all replicas, by the request's id.
         self.ledger = ledger
         self.proxy = Proxy()
-        # well, hang, reset, error, garble or cut.
+        # well, hang, reset, error, garble, cut, or one of the faulty answers.
         self.mode = "well"
         # When the store acknowledged that it leaves.
         self.left_at = None
@@ -53,6 +55,8 @@
         self.all_calm = lambda: True
         # Moments at which a request came.
         self.arrivals = []
+        # Ids that requests expected here and that are another replica's.
+        self.misdirected = []
         # Times in which daemons know that it takes only COLD_PER_S.
         self.cold_spans = []
         self._born = time.time()
@@ -60,7 +64,7 @@
         if is_cold:
             self._warm_at = time.monotonic() + COLD_S
             self.cold_spans.append((time.monotonic(), self._warm_at))
-        self._random = random.Random(self.id)
+        self._random = random.Random(f"{seed}.{self.id}")
         self._streams = 0
         self._server = None
         self._open = set()
@@ -114,9 +118,10 @@
 
     async def _serve(self, reader, writer):
         self._open.add(writer)
+        earlier = Earlier()
         try:
             while (asked := await http11.read_message(reader)) is not None:
-                await self._run(asked, writer)
+                await self._run(asked, writer, earlier)
                 await writer.drain()
         except (http11.Broken, ConnectionError):
             pass
@@ -124,10 +129,17 @@
             self._open.discard(writer)
             writer.close()
 
-    async def _run(self, asked, writer):
+    def _is_hit(self, mode):
+        """Whether a request meets the fault of a mode."""
+        return self.mode == mode and self._random.random() < faulty_answers.SHARE
+
+    async def _run(self, asked, writer, earlier):
+        request_id = asked.fields["x-sapphirereel-request-id"]
         wanted = asked.fields.get("x-sapphirereel-expect-instance")
         if wanted != self.id:
-            writer.write(http11.answer(421))
+            self.misdirected.append(wanted)
+            who = {"X-Sapphirereel-Replica-Id": self.id}
+            writer.write(faulty_answers.refusal(request_id, who, 421))
             return
         self.arrivals.append(time.monotonic())
         if self.left_at is not None and self.all_calm():
@@ -135,7 +147,10 @@
         if self.mode == "reset":
             writer.transport.abort()
             return
-        request_id = asked.fields["x-sapphirereel-request-id"]
+        if not earlier.refused_id and self._is_hit(faulty_answers.REPEAT):
+            earlier.refused_id = request_id
+            writer.write(faulty_answers.refusal(request_id, self._state_fields()))
+            return
         run = Run(
             self.id, time.monotonic(),
             asked.fields.get("x-sapphirereel-tenant", ""),
@@ -144,10 +159,28 @@
         self.ledger.setdefault(request_id, []).append(run)
         if self.mode == "hang":
             await asyncio.sleep(3_600)
+        await self._write_earlier(writer, earlier)
+        await self._answer(asked, run, request_id, writer, earlier)
+
+    async def _write_earlier(self, writer, earlier):
+        """Writes an answer to an earlier request once more, before the next one."""
+        if earlier.refused_id:
+            await asyncio.sleep(faulty_answers.repeat_delay_s(self._random))
+            writer.write(faulty_answers.repeated_refusal(self._random, earlier))
+            earlier.refused_id = ""
+        elif earlier.answer and self._is_hit(faulty_answers.LATE_EXTRA):
+            writer.write(earlier.answer)
+
+    async def _answer(self, asked, run, request_id, writer, earlier):
         fields = {
             "X-Sapphirereel-Request-Id": request_id,
             "X-Sapphirereel-Response-Signature": f"{self.id}.{request_id}",
         } | self._state_fields()
+        if self._is_hit(faulty_answers.UNMARKED):
+            await asyncio.sleep(0.01)
+            run.status, refused = faulty_answers.unmarked_refusal(self._random, fields)
+            writer.write(refused)
+            return
         is_stream = asked.start[1].startswith(("/stream/", "/resume/"))
         if is_stream and self.mode != "error":
             after = int(asked.fields.get("last-event-id", "0"))
@@ -158,21 +191,34 @@
                 await self._stream(run, request_id, after, fields, writer)
             finally:
                 self._streams -= 1
+            earlier.answer = http11.answer(200, fields, b"id: 1\ndata: late\n\n")
             return
         await asyncio.sleep(0.01)
         run.status = 500 if self.mode == "error" else 200
         run.body = f"{self.id} served {request_id}".encode()
         bytes_out = http11.answer(run.status, fields, run.body)
+        if self._is_hit(faulty_answers.CUT_HEAD):
+            self._cut_head(bytes_out, writer)
+            return
         if self.mode == "garble":
             writer.write(bytes_out[: len(bytes_out) - 5])
             writer.close()
             return
         writer.write(bytes_out)
+        earlier.answer = bytes_out
+
+    def _cut_head(self, bytes_out, writer):
+        writer.write(faulty_answers.cut_head(self._random, bytes_out))
+        writer.close()
 
     async def _stream(self, run, request_id, after, fields, writer):
         run.status = 200
         fields = fields | {"Content-Type": "text/event-stream"}
-        writer.write(http11.answer(200, fields, chunked=True))
+        head = http11.answer(200, fields, chunked=True)
+        if self._is_hit(faulty_answers.CUT_HEAD):
+            self._cut_head(head, writer)
+            return
+        writer.write(head)
         for number in range(after + 1, EVENTS + 1):
             last = " last" if number == EVENTS else ""
             event = f"id: {number}\ndata: {request_id}{last}\n\n".encode()
--- a/tools/soak.d/soak.py
+++ b/tools/soak.d/soak.py
@@ -12,7 +12,8 @@
 import time
 
 import callers
-import http11
+import faulty_answers
+import odd_entries
 import promises
 import store as platform
 from daemons import GRACE_S, Daemon
@@ -73,7 +74,7 @@
             await each.open(self.store.address)
 
     async def add_replica(self, service, zone, is_cold=False):
-        made = Replica(service, zone, self.ledger, is_cold)
+        made = Replica(service, zone, self.ledger, is_cold, self.seed)
         made.all_calm = self.all_calm
         await made.open(self.replica_ip, self.store)
         self.replicas.append(made)
@@ -158,6 +159,18 @@
         await asyncio.sleep(self.random.uniform(0.3, 2))
         replica.mode = "well"
 
+    async def spoil_answers(self):
+        """Some replicas answer wrongly in the same way, as after a faulty update."""
+        mode = self.random.choice(faulty_answers.MODES)
+        count = self.random.randint(1, len(self.replicas) // 2)
+        spoiled = self.random.sample(self.replicas, count)
+        self.note(f"{mode} at {count} replicas")
+        for each in spoiled:
+            each.mode = mode
+        await asyncio.sleep(self.random.uniform(1, 4))
+        for each in spoiled:
+            each.mode = "well"
+
     async def cut_replica(self, replica):
         replica.proxy.mode = self.random.choice(["cut", "cut_out", "cut_back", "delay"])
         await asyncio.sleep(self.random.uniform(0.3, 2))
@@ -181,6 +194,16 @@
         await self.store.write(platform.REPLICAS, replica.id, None)
         replica.crash()
 
+    async def add_odd_entries(self):
+        """Another writer's entries among the replicas', then a restart amid them."""
+        addresses = [each.proxy.address for each in self.replicas]
+        for key, raw in odd_entries.of(self.random, addresses):
+            await self.store.write_bytes(platform.REPLICAS, key, raw)
+        await asyncio.sleep(self.random.uniform(0, 1))
+        free = [each for each in self.daemons if self.is_free(each)]
+        if free:
+            await self.alone(self.random.choice(free), self.kill)
+
     async def turn_cold(self, replica):
         replica.turn_cold()
 
@@ -217,15 +240,17 @@
     def next_fault(self):
         daemon = self.random.choice(self.daemons)
         replica = self.random.choice(self.replicas)
-        is_free = daemon.is_calm(0) and not getattr(daemon, "busy", False)
         kinds = [
             ("disturb replica", replica.id, lambda: self.disturb_replica(replica)),
+            ("spoil answers", "", self.spoil_answers),
+            ("spoil answers", "", self.spoil_answers),
             ("cut replica", replica.id, lambda: self.cut_replica(replica)),
             ("crash", replica.id, lambda: self.crash(replica)),
             ("leave", replica.id, lambda: self.leave(replica)),
             ("turn cold", replica.id, lambda: self.turn_cold(replica)),
             ("disturb store", "", self.disturb_store),
             ("change", "", self.change),
+            ("odd entries", "", self.add_odd_entries),
         ]
         evacuated = [each.zone for each in self.evacuations if each.is_open()]
         zones = [zone for zone in ZONES if zone not in evacuated]
@@ -233,7 +258,7 @@
         if len(zones) > 1 or (zones and self.random.random() < 0.1):
             zone = self.random.choice(zones)
             kinds.append(("evacuate", zone, lambda: self.evacuate(zone)))
-        if is_free:
+        if self.is_free(daemon):
             kinds += [
                 ("kill", daemon.name, lambda: self.alone(daemon, self.kill)),
                 ("pause", daemon.name, lambda: self.alone(daemon, self.pause)),
@@ -243,6 +268,9 @@
             ]
         return self.random.choice(kinds)
 
+    def is_free(self, daemon):
+        return daemon.is_calm(0) and not getattr(daemon, "busy", False)
+
     async def alone(self, daemon, fault):
         """One fault of a daemon's process at a time; links may fail meanwhile."""
         daemon.busy = True
@@ -304,6 +332,7 @@
                     if each.zone == order.zone:
                         each.cold_spans.append((order.until, order.until + COLD_S))
         self.findings += promises.too_many_while_cold(replicas)
+        self.findings += promises.reached_by_odd_entries(replicas)
         self.findings += promises.ended_unasked(self.daemons)
         self.findings += promises.not_recovered(at_rest)
 
--- a/tools/soak.d/store.py
+++ b/tools/soak.d/store.py
@@ -42,6 +42,9 @@
     async def write(self, topic, key, value):
         """Appends a record; a value of none removes its key."""
         raw = b"" if value is None else json.dumps(value).encode()
+        return await self.write_bytes(topic, key, raw)
+
+    async def write_bytes(self, topic, key, raw):
         async with self.news:
             self.records[topic].append((key, raw))
             self.news.notify_all()
