Soak: callers keep connections, faulty answers in a series of their own

Most callers use a connection until its process is gone or closes it; every fourth opens one for each request. Answers that name another request, and successes while no request waits, are found broken.

--- a/test/correctness/soak/promises_test.py
+++ b/test/correctness/soak/promises_test.py
@@ -53,6 +53,19 @@
         cut = outcome(body=b"ans", whole=False)
         self.assertFalse(found(promises.wrong_answers, cut, [run()]))
 
+    def test_answers_name_their_request(self):
+        got = outcome()
+        self.assertFalse(list(promises.answers_to_others([got])))
+        got.answered_id = "r"
+        self.assertFalse(list(promises.answers_to_others([got])))
+        got.answered_id = "another"
+        self.assertTrue(list(promises.answers_to_others([got])))
+
+    def test_no_success_without_a_request(self):
+        self.assertFalse(list(promises.stray_successes([("daemon", 408)])))
+        self.assertTrue(list(promises.stray_successes([("daemon", 200)])))
+        self.assertTrue(list(promises.stray_successes([("daemon", 0)])))
+
     def test_streams_are_whole_or_visibly_broken(self):
         whole = promises.whole_stream("r")
         good = outcome(kind="stream", body=whole)
--- a/tools/soak.d/callers.py
+++ b/tools/soak.d/callers.py
@@ -7,10 +7,13 @@
 from dataclasses import dataclass
 
 import http11
+from connection import Connection
 
 ADDRESS_LIFE_S = 2.0
 PATIENCE_S = 6.0
 MOST_RECONNECTS = 3
+# One caller in so many opens a connection for each request.
+NEW_CONNECTION_CALLERS = 4
 
 
 @dataclass
@@ -30,6 +33,10 @@
     whole: bool = False
     # The number of the last event that the caller had received before.
     after: int = 0
+    # The request that the answer names.
+    answered_id: str = ""
+    on_kept_connection: bool = False
+    ended_at: float = 0.0
 
     @property
     def position(self):
@@ -37,9 +44,7 @@
         return self.after + self.body.count(b"\n\n")
 
 
-async def ask(daemon, kind, key, request_id, target=None, after=0):
-    """One attempt at one daemon."""
-    got = Outcome(request_id, kind, key, daemon, time.monotonic(), after=after)
+def request_fields(kind, key, request_id, after):
     fields = {
         "Host": "h", "X-Sapphirereel-Request-Id": request_id,
         "X-Sapphirereel-Credential": key,
@@ -51,40 +56,66 @@
     elif kind == "stream":
         # Has no effect on a route whose streams do not resume.
         fields["Last-Event-Id"] = 7
-    writer = None
+    return fields
+
+
+async def ask(connection, kind, key, request_id, target=None, after=0):
+    """One attempt; the connection stays open where both sides allow it."""
+    now = time.monotonic()
+    got = Outcome(request_id, kind, key, connection.daemon, now, after=after)
+    got.on_kept_connection = connection.carried > 0
+    fields = request_fields(kind, key, request_id, after)
+    method = "GET" if kind == "safe" else "POST"
+    bytes_out = http11.request(method, target or f"/{kind}/a", fields)
     try:
         async with asyncio.timeout(PATIENCE_S + 1):
-            host, port = daemon.rsplit(":", 1)
-            reader, writer = await asyncio.open_connection(host, int(port))
-            method = "GET" if kind == "safe" else "POST"
-            writer.write(http11.request(method, target or f"/{kind}/a", fields))
-            head = await http11.read_head(reader)
-            if head is None:
-                return got
-            got.status = int(head.start[1])
-            got.signature = head.fields.get("x-sapphirereel-response-signature", "")
-            async for part in http11.body_parts(reader, head):
-                got.body += part
-            got.whole = True
+            await read_answer(connection, bytes_out, got)
     except (http11.Broken, TimeoutError, OSError):
         pass
     finally:
-        if writer is not None:
-            writer.close()
+        got.ended_at = time.monotonic()
+        if not got.whole:
+            connection.close()
     return got
 
 
+async def read_answer(connection, bytes_out, got):
+    head = await connection.send(bytes_out)
+    if head is None:
+        return
+    got.status = http11.status_of(head)
+    got.signature = head.fields.get("x-sapphirereel-response-signature", "")
+    got.answered_id = head.fields.get("x-sapphirereel-request-id", "")
+    async for part in connection.body_parts(head):
+        got.body += part
+    got.whole = True
+    connection.end_answer(head)
+
+
+async def ask_once(daemon, kind, key, request_id, target=None):
+    """One attempt on a connection of its own."""
+    connection = Connection(daemon)
+    try:
+        return await ask(connection, kind, key, request_id, target)
+    finally:
+        connection.close()
+
+
 class Caller:
     """One caller; sends one request after the other until told to stop."""
 
     def __init__(self, number, seed, directories, keys):
         self.outcomes = []
+        # Answers that came while no request waited: daemon and status.
+        self.stray = []
         self._number = number
         self._random = random.Random(seed * 1_000 + number)
         self._directories = directories
         self._keys = keys
         self._addresses = []
         self._asked_at = -ADDRESS_LIFE_S
+        self._keeps = number % NEW_CONNECTION_CALLERS != 0
+        self._connection = None
 
     async def run(self, until):
         count = 0
@@ -97,6 +128,7 @@
             if self._addresses:
                 await self._send(kind, f"c{self._number}-{count}")
             await asyncio.sleep(self._random.uniform(0.01, 0.12))
+        self._drop_connection()
 
     async def _send(self, kind, request_id):
         """One request; a stream that may resume is continued after a cut."""
@@ -104,14 +136,30 @@
         after = 0
         for attempt in range(1 + MOST_RECONNECTS):
             got = await ask(
-                self._random.choice(self._addresses), kind, key,
-                f"{request_id}-{attempt}", after=after,
+                self._next_connection(), kind, key, f"{request_id}-{attempt}",
+                after=after,
             )
             self.outcomes.append(got)
             if kind != "resume" or got.whole or got.status not in (0, 200):
                 return
             after = got.position
 
+    def _next_connection(self):
+        """The open connection, until the process at its other end is gone."""
+        address = self._random.choice(self._addresses)
+        kept = self._connection
+        if kept is None or not self._keeps or not kept.is_usable():
+            self._drop_connection()
+            self._connection = Connection(address)
+        return self._connection
+
+    def _drop_connection(self):
+        if self._connection is not None:
+            self._connection.close()
+            daemon = self._connection.daemon
+            self.stray += [(daemon, status) for status in self._connection.stray]
+            self._connection = None
+
     async def _refresh(self):
         if time.monotonic() - self._asked_at < ADDRESS_LIFE_S:
             return
--- a/tools/soak.d/http11.py
+++ b/tools/soak.d/http11.py
@@ -66,6 +66,22 @@
     return head
 
 
+def status_of(head):
+    """The status of an answer; 0 where the first line is none."""
+    parts = head.start
+    is_number = len(parts) > 1 and parts[1].isdigit()
+    return int(parts[1]) if is_number else 0
+
+
+def keep_alive_s(head):
+    """The idle time that Keep-Alive states, if it does."""
+    for term in head.fields.get("keep-alive", "").split(","):
+        name, _, value = term.strip().partition("=")
+        if name.lower() == "timeout" and value.isdigit():
+            return int(value)
+    return None
+
+
 def request(method, target, fields, body=b""):
     lines = [f"{method} {target} HTTP/1.1"]
     lines += [f"{name}: {value}" for name, value in fields.items()]
--- a/tools/soak.d/promises.py
+++ b/tools/soak.d/promises.py
@@ -96,6 +96,19 @@
             yield f"{got.kind} {got.id} got another body than its replica gave"
 
 
+def answers_to_others(outcomes):
+    for got in outcomes:
+        if got.answered_id not in ("", got.id):
+            yield f"{got.kind} {got.id} of {got.daemon} got an answer to {got.answered_id}"
+
+
+def stray_successes(stray):
+    """Answers to no request, as pairs of daemon and status; failures may be."""
+    for daemon, status in stray:
+        if status < 400:
+            yield f"{daemon} sent {status} while no request waited"
+
+
 def wrong_customers(outcomes, ledger, customers):
     for got in outcomes:
         for run in ledger.get(got.id, []):
--- a/tools/soak.d/soak.py
+++ b/tools/soak.d/soak.py
@@ -4,6 +4,7 @@
 
 import argparse
 import asyncio
+import functools
 import os
 import random
 import signal
@@ -40,6 +41,7 @@
         self.replicas = []
         self.gone = []
         self.findings = []
+        self.stray = []
         self.evacuations = []
         self.version = 0
         self.keys = dict(CUSTOMERS)
@@ -159,12 +161,8 @@
         await asyncio.sleep(self.random.uniform(0.3, 2))
         replica.mode = "well"
 
-    async def spoil_answers(self):
+    async def spoil(self, spoiled, mode):
         """Some replicas answer wrongly in the same way, as after a faulty update."""
-        mode = self.random.choice(faulty_answers.MODES)
-        count = self.random.randint(1, len(self.replicas) // 2)
-        spoiled = self.random.sample(self.replicas, count)
-        self.note(f"{mode} at {count} replicas")
         for each in spoiled:
             each.mode = mode
         await asyncio.sleep(self.random.uniform(1, 4))
@@ -226,7 +224,7 @@
         for daemon in self.daemons:
             if not daemon.is_calm(promises.CONFIGURATION_BOUND_S):
                 continue
-            got = await callers.ask(
+            got = await callers.ask_once(
                 daemon.callers, "safe", "key-a", f"probe-{version}-{daemon.name}",
                 f"/v{version}/a",
             )
@@ -242,15 +240,12 @@
         replica = self.random.choice(self.replicas)
         kinds = [
             ("disturb replica", replica.id, lambda: self.disturb_replica(replica)),
-            ("spoil answers", "", self.spoil_answers),
-            ("spoil answers", "", self.spoil_answers),
             ("cut replica", replica.id, lambda: self.cut_replica(replica)),
             ("crash", replica.id, lambda: self.crash(replica)),
             ("leave", replica.id, lambda: self.leave(replica)),
             ("turn cold", replica.id, lambda: self.turn_cold(replica)),
             ("disturb store", "", self.disturb_store),
             ("change", "", self.change),
-            ("odd entries", "", self.add_odd_entries),
         ]
         evacuated = [each.zone for each in self.evacuations if each.is_open()]
         zones = [zone for zone in ZONES if zone not in evacuated]
@@ -268,6 +263,16 @@
             ]
         return self.random.choice(kinds)
 
+    def next_answer_fault(self):
+        """A fault of several replicas at once, or of what is said of them."""
+        kinds = [("odd entries", "", self.add_odd_entries)]
+        for mode in faulty_answers.MODES:
+            count = self.random.randint(1, len(self.replicas) // 2)
+            spoiled = self.random.sample(self.replicas, count)
+            which = f"at {count} replicas"
+            kinds.append((mode, which, functools.partial(self.spoil, spoiled, mode)))
+        return self.random.choice(kinds)
+
     def is_free(self, daemon):
         return daemon.is_calm(0) and not getattr(daemon, "busy", False)
 
@@ -280,14 +285,20 @@
             daemon.busy = False
 
     async def disturb(self, seconds):
+        """Two series of faults that overlap; each ends before the run does."""
         end = time.monotonic() + seconds
+        await asyncio.gather(
+            self.series(end, self.next_fault, 1.2),
+            self.series(end, self.next_answer_fault, 2.0),
+        )
+        await asyncio.gather(*self.pending)
+
+    async def series(self, end, next_fault, longest_pause_s):
         while time.monotonic() < end:
-            name, which, begin = self.next_fault()
+            name, which, begin = next_fault()
             self.note(f"{name} {which}")
-            task = asyncio.create_task(begin())
-            self.pending.add(task)
-            await asyncio.sleep(self.random.uniform(0.1, 1.2))
-        await asyncio.gather(*self.pending)
+            self.pending.add(asyncio.create_task(begin()))
+            await asyncio.sleep(self.random.uniform(0.1, longest_pause_s))
 
     # The run.
 
@@ -299,6 +310,7 @@
         ]
         end = time.monotonic() + seconds
         await asyncio.gather(*(each.run(end) for each in made))
+        self.stray += [pair for each in made for pair in each.stray]
         return [got for each in made for got in each.outcomes]
 
     async def run(self, seconds):
@@ -318,6 +330,8 @@
         self.findings += promises.runs_too_often(outcomes, self.ledger)
         self.findings += promises.refused_and_run(outcomes, self.ledger)
         self.findings += promises.wrong_answers(outcomes, self.ledger)
+        self.findings += promises.answers_to_others(outcomes)
+        self.findings += promises.stray_successes(self.stray)
         self.findings += promises.wrong_customers(outcomes, self.ledger, CUSTOMERS)
         self.findings += promises.unasked_runs(outcomes, self.ledger)
         replicas = self.replicas + self.gone
