--- a/test/correctness/soak/promises_test.py
+++ b/test/correctness/soak/promises_test.py
@@ -11,6 +11,7 @@
 import odd_entries  # noqa: E402
 import promises  # noqa: E402
 from callers import Outcome  # noqa: E402
+from daemons import Build, Daemon  # noqa: E402
 from replicas import Replica, Run  # noqa: E402
 
 
@@ -152,6 +153,24 @@
         self.assertFalse(list(promises.unasked_runs([outcome()], {"r": [run()]})))
         self.assertTrue(list(promises.unasked_runs([outcome()], {"x": [run()]})))
 
+    def test_old_builds_are_told_apart(self):
+        refused = outcome(status=503, signature="")
+        refused.build = promises.OLD_BUILD
+        by_old = found(promises.refused_and_run, refused, [run()])
+        self.assertFalse(promises.fails(by_old))
+        refused.build = "new"
+        by_new = found(promises.refused_and_run, refused, [run()])
+        self.assertTrue(promises.fails(by_old + by_new))
+        # Where the build isn't known it is nobody's excuse.
+        unknown = list(promises.unasked_runs([], {"x": [run()]}))
+        self.assertTrue(promises.fails(unknown))
+
+    def test_the_build_of_a_moment(self):
+        daemon = Daemon(Build("new", ""), "", "127.0.0.1", "z", [])
+        daemon._starts = [(1.0, "old"), (5.0, "new")]
+        self.assertEqual("old", daemon.build_at(4.9))
+        self.assertEqual("new", daemon.build_at(5.0))
+
     def test_service_comes_back(self):
         served = [outcome()] * 99
         lost = outcome(status=0, whole=False)
--- a/tools/soak.d/callers.py
+++ b/tools/soak.d/callers.py
@@ -37,6 +37,8 @@
     answered_id: str = ""
     on_kept_connection: bool = False
     ended_at: float = 0.0
+    # The name of the build of the daemon that was asked.
+    build: str = ""
 
     @property
     def position(self):
@@ -104,7 +106,7 @@
 class Caller:
     """One caller; sends one request after the other until told to stop."""
 
-    def __init__(self, number, seed, directories, keys):
+    def __init__(self, number, seed, directories, keys, pause=1):
         self.outcomes = []
         # Answers that came while no request waited: daemon and status.
         self.stray = []
@@ -112,6 +114,8 @@
         self._random = random.Random(seed * 1_000 + number)
         self._directories = directories
         self._keys = keys
+        # How many times longer than usual it pauses.
+        self._pause = pause
         self._addresses = []
         self._asked_at = -ADDRESS_LIFE_S
         self._keeps = number % NEW_CONNECTION_CALLERS != 0
@@ -127,7 +131,7 @@
             )
             if self._addresses:
                 await self._send(kind, f"c{self._number}-{count}")
-            await asyncio.sleep(self._random.uniform(0.01, 0.12))
+            await asyncio.sleep(self._random.uniform(0.01, 0.12) * self._pause)
         self._drop_connection()
 
     async def _send(self, kind, request_id):
--- a/tools/soak.d/daemons.py
+++ b/tools/soak.d/daemons.py
@@ -4,15 +4,25 @@
 import signal
 import subprocess
 import time
+from dataclasses import dataclass
 
+from findings import Finding
 from proxy import Proxy
 
 CALLER_PORT, READY_PORT, DIRECTORY_PORT, PEER_PORT = 18740, 18749, 18746, 18720
 GRACE_S = 8
 
 
+@dataclass(frozen=True)
+class Build:
+    """A program to run; the name tells it apart in the report."""
+
+    name: str
+    program: str
+
+
 class Daemon:
-    def __init__(self, program, folder, ip, zone, seeds):
+    def __init__(self, build, folder, ip, zone, seeds):
         self.name = f"entry-{ip}"
         self.ip = ip
         self.proxy = Proxy()
@@ -21,7 +31,10 @@
         self.disturbed_at = time.monotonic()
         # Whether its end was asked for.
         self.may_end = False
-        self._program = program
+        # What the next start runs.
+        self.build = build
+        # Starts so far: the moment and the build's name.
+        self._starts = []
         self._folder = folder
         self._zone = zone
         self._seeds = seeds
@@ -59,10 +72,19 @@
             file.writelines(f"{name}={value}\n" for name, value in settings.items())
         with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen(
-                [self._program, f"--settings={path}"], stdout=log, stderr=log
+                [self.build.program, f"--settings={path}"], stdout=log, stderr=log
             )
         self.may_end = False
         self.disturbed_at = time.monotonic()
+        self._starts.append((self.disturbed_at, self.build.name))
+
+    def build_at(self, moment):
+        """The name of the build that ran at a moment."""
+        names = [name for at, name in self._starts if at <= moment]
+        return names[-1] if names else self.build.name
+
+    def finding(self, what):
+        return Finding(f"{self.name} {what}", self.build_at(time.monotonic()))
 
     def send(self, number):
         """Signals this process, and no other."""
--- a/tools/soak.d/odd_entries.py
+++ b/tools/soak.d/odd_entries.py
@@ -22,6 +22,11 @@
     return str(key).startswith(NAMES_NONE)
 
 
+def that_expire(entries):
+    """Keys of entries that may name a replica, so that they pass as one for a while."""
+    return [key for key, _ in entries if not names_no_replica(key)]
+
+
 def whole_entry(random, addresses):
     return {
         "service": random.choice(["plain", "engine"]),
--- a/tools/soak.d/promises.py
+++ b/tools/soak.d/promises.py
@@ -5,6 +5,7 @@
 
 import odd_entries
 import replicas as serving
+from findings import Finding
 
 # Bounds of this deployment, in seconds.
 CONFIGURATION_BOUND_S = 9.0
@@ -14,6 +15,9 @@
 MOST_PER_COLD_SECOND = int(serving.COLD_PER_S * 1.5 + 5)
 LEAST_SHARE_SERVED_AT_REST = 0.95
 
+# The build that is replaced; its faults are known and printed apart.
+OLD_BUILD = "old"
+
 NOT_RUN = (408, 421, 429, 503)
 MOST_RUNS = {"safe": 2, "resume": 3}
 
@@ -54,13 +58,18 @@
     return "".join(events).encode()
 
 
+def broken(got, what):
+    """A finding about one outcome."""
+    return Finding(f"{got.kind} {got.id} of {got.daemon} {what}", got.build)
+
+
 def runs_too_often(outcomes, ledger):
     for got in outcomes:
         most = MOST_RUNS.get(got.kind, 1)
         runs = ledger.get(got.id, [])
         if len(runs) > most:
             where = ", ".join(run.replica for run in runs)
-            yield f"{got.kind} {got.id} ran {len(runs)} times: {where}"
+            yield broken(got, f"ran {len(runs)} times: {where}")
 
 
 def refused_and_run(outcomes, ledger):
@@ -68,7 +77,7 @@
         # Who made the answer doesn't matter: the status is the promise.
         is_promise = got.status in NOT_RUN
         if got.kind != "safe" and is_promise and got.id in ledger:
-            yield f"{got.kind} {got.id} got {got.status} of {got.daemon} and ran"
+            yield broken(got, f"got {got.status} and ran")
 
 
 def gave_status(runs, got):
@@ -82,45 +91,46 @@
         runs = ledger.get(got.id, [])
         signed = [run for run in runs if got.signature == f"{run.replica}.{got.id}"]
         if got.status == 200 and not signed:
-            yield f"{got.kind} {got.id} got a success that no replica signed"
+            yield broken(got, "got a success that no replica signed")
         elif got.signature and signed and not gave_status(signed, got):
-            yield f"{got.kind} {got.id} got {got.status}, its replica gave another"
+            yield broken(got, f"got {got.status}, its replica gave another")
         elif got.status == 200 and got.kind in ("stream", "resume"):
             wanted = whole_stream(got.id, got.after)
             if got.body != wanted[: len(got.body)] or (got.whole and got.body != wanted):
-                yield (
-                    f"{got.kind} {got.id} after {got.after} of {got.daemon} is not "
-                    f"in order, or looks complete and is not: {got.body[-60:]}"
+                yield broken(
+                    got,
+                    f"after {got.after} is not in order, or looks complete and is "
+                    f"not: {got.body[-60:]}",
                 )
         elif got.status == 200 and got.whole and got.body != signed[-1].body:
-            yield f"{got.kind} {got.id} got another body than its replica gave"
+            yield broken(got, "got another body than its replica gave")
 
 
 def answers_to_others(outcomes):
     for got in outcomes:
         if got.answered_id not in ("", got.id):
-            yield f"{got.kind} {got.id} of {got.daemon} got an answer to {got.answered_id}"
+            yield broken(got, f"got an answer to {got.answered_id}")
 
 
 def stray_successes(stray):
     """Answers to no request, as pairs of daemon and status; failures may be."""
     for daemon, status in stray:
         if status < 400:
-            yield f"{daemon} sent {status} while no request waited"
+            yield Finding(f"{daemon} sent {status} while no request waited")
 
 
 def wrong_customers(outcomes, ledger, customers):
     for got in outcomes:
         for run in ledger.get(got.id, []):
             if run.customer != customers[got.key] or run.credential:
-                yield f"{got.id} reached {run.replica} as '{run.customer}'"
+                yield broken(got, f"reached {run.replica} as '{run.customer}'")
 
 
 def unasked_runs(outcomes, ledger):
     asked = {got.id for got in outcomes}
     for request_id in ledger:
         if request_id not in asked:
-            yield f"{request_id} ran and no caller sent it"
+            yield Finding(f"{request_id} ran and no caller sent it")
 
 
 def late_at_leaving(replicas):
@@ -128,7 +138,9 @@
         for at in replica.late_arrivals:
             if at - replica.left_at > DRAIN_BOUND_S:
                 late = at - replica.left_at
-                yield f"{replica.id} got a request {late:.1f} s after it began to leave"
+                yield Finding(
+                    f"{replica.id} got a request {late:.1f} s after it began to leave"
+                )
 
 
 def reached_evacuated(replicas, evacuations, outages):
@@ -137,7 +149,7 @@
             for at in replica.arrivals if replica.zone == order.zone else ():
                 if order.is_in_force(at, outages):
                     late = at - order.since
-                    yield (
+                    yield Finding(
                         f"{replica.id} got a request {late:.1f} s after the "
                         f"evacuation of {order.zone}"
                     )
@@ -147,7 +159,9 @@
     for replica in replicas:
         for wanted in replica.misdirected:
             if odd_entries.names_no_replica(wanted):
-                yield f"{replica.id} got a request for {wanted}, which names no replica"
+                yield Finding(
+                    f"{replica.id} got a request for {wanted}, which names no replica"
+                )
 
 
 def too_many_while_cold(replicas):
@@ -156,20 +170,25 @@
             came = [at for at in replica.arrivals if start <= at <= end]
             for first, beyond in zip(came, came[MOST_PER_COLD_SECOND:]):
                 if beyond - first < 1:
-                    yield (
+                    yield Finding(
                         f"{replica.id} got more than {MOST_PER_COLD_SECOND} requests "
                         f"in a second, {first - start:.1f} s after it became cold"
                     )
                     break
 
 
+def fails(findings):
+    """Whether anything is broken that an old build alone doesn't explain."""
+    return any(each.build != OLD_BUILD for each in findings)
+
+
 def ended_unasked(daemons):
     for daemon in daemons:
         if daemon.ended() and not daemon.may_end:
-            yield f"{daemon.name} ended by itself: {daemon.process.returncode}"
+            yield daemon.finding(f"ended by itself: {daemon.process.returncode}")
 
 
 def not_recovered(outcomes):
     served = sum(got.status == 200 and got.whole for got in outcomes)
     if served < LEAST_SHARE_SERVED_AT_REST * len(outcomes):
-        yield f"at rest {served} of {len(outcomes)} requests were served"
+        yield Finding(f"at rest {served} of {len(outcomes)} requests were served")
--- a/tools/soak.d/soak.py
+++ b/tools/soak.d/soak.py
@@ -7,7 +7,6 @@
 import functools
 import os
 import random
-import signal
 import sys
 import tempfile
 import time
@@ -17,23 +16,28 @@
 import odd_entries
 import promises
 import store as platform
-from daemons import GRACE_S, Daemon
+from daemon_faults import DaemonFaults
+from daemons import Build, Daemon
 from replicas import COLD_PER_S, COLD_S, Replica
+from rollout import Rollout
 from store import Store
 
 ZONES = ("z1", "z2", "z3")
 DAEMONS = 6
 REPLICAS = {"plain": 5, "engine": 5}
 CALLERS = 40
+# A few hundred processes at most.
+MOST_SCALE = 40
 WARM_UP_S = 3.0
 REST_S = 4.0
+ENTRY_LIFE_S = 3.0
 # Time without a disturbance from which a daemon's promises with a bound hold.
 CALM_S = 4.0
 CUSTOMERS = {"key-a": "a", "key-b": "b"}
 
 
 class Soak:
-    def __init__(self, seed, program, folder):
+    def __init__(self, seed, folder, new, old=None, scale=1):
         self.random = random.Random(seed)
         self.seed = seed
         self.store = Store()
@@ -48,12 +52,19 @@
         self.pending = set()
         # Addresses of this soak alone, so that two never meet.
         base = f"127.{100 + os.getpid() // 250 % 100}.{os.getpid() % 250}"
-        ips = [f"{base}.{number}" for number in range(1, DAEMONS + 1)]
-        self.replica_ip = f"{base}.200"
+        self.scale = scale
+        ips = [f"{base}.{number}" for number in range(1, DAEMONS * scale + 1)]
+        self.replica_ip = f"{base}.250"
         self.daemons = [
-            Daemon(program, folder, ip, ZONES[at % len(ZONES)], ips[:3])
+            Daemon(old or new, folder, ip, ZONES[at % len(ZONES)], ips[:3])
             for at, ip in enumerate(ips)
         ]
+        self.daemon_faults = DaemonFaults(self.random, self.findings, self.publish)
+        self.rollout = None
+        if old:
+            self.rollout = Rollout(
+                self.daemons, self.daemon_faults, old, new, self.note
+            )
 
     def note(self, what):
         print(f"{time.monotonic() - self.began:7.2f} s  {what}", flush=True)
@@ -70,7 +81,7 @@
         await self.store.open("127.0.0.1")
         await self.publish()
         for service, count in REPLICAS.items():
-            for at in range(count):
+            for at in range(count * self.scale):
                 await self.add_replica(service, ZONES[at % len(ZONES)])
         for each in self.daemons:
             await each.open(self.store.address)
@@ -118,38 +129,6 @@
 
     # Faults. Each undoes itself; several overlap.
 
-    async def kill(self, daemon):
-        daemon.send(signal.SIGKILL)
-        await asyncio.sleep(self.random.uniform(0.3, 2))
-        daemon.start()
-
-    async def pause(self, daemon):
-        daemon.send(signal.SIGSTOP)
-        await asyncio.sleep(self.random.uniform(0.3, 3))
-        daemon.send(signal.SIGCONT)
-
-    async def stop(self, daemon):
-        daemon.send(signal.SIGTERM)
-        end = time.monotonic() + GRACE_S
-        while not daemon.ended() and time.monotonic() < end:
-            await asyncio.sleep(0.1)
-        if not daemon.ended():
-            self.findings.append(f"{daemon.name} did not stop in {GRACE_S} s")
-            daemon.kill()
-        daemon.start()
-
-    async def hang_up(self, daemon):
-        daemon.send(signal.SIGHUP)
-        await asyncio.sleep(0.2)
-
-    async def cut_store(self, daemon):
-        daemon.touch()
-        daemon.proxy.mode = self.random.choice(["cut", "cut_out", "cut_back", "delay"])
-        await asyncio.sleep(self.random.uniform(0.5, 4))
-        daemon.proxy.mode = "open"
-        daemon.proxy.reset()
-        daemon.touch()
-
     async def disturb_store(self):
         self.store.set_mode(self.random.choice(["silent", "busy", "reset", "slow"]))
         await asyncio.sleep(self.random.uniform(0.5, 4))
@@ -195,12 +174,20 @@
     async def add_odd_entries(self):
         """Another writer's entries among the replicas', then a restart amid them."""
         addresses = [each.proxy.address for each in self.replicas]
-        for key, raw in odd_entries.of(self.random, addresses):
+        entries = odd_entries.of(self.random, addresses)
+        for key, raw in entries:
             await self.store.write_bytes(platform.REPLICAS, key, raw)
         await asyncio.sleep(self.random.uniform(0, 1))
-        free = [each for each in self.daemons if self.is_free(each)]
+        free = [each for each in self.daemons if self.daemon_faults.is_free(each)]
         if free:
-            await self.alone(self.random.choice(free), self.kill)
+            await self.alone(self.random.choice(free), self.daemon_faults.kill)
+        # As entries of replicas that nobody renews.
+        await asyncio.sleep(ENTRY_LIFE_S)
+        for key in odd_entries.that_expire(entries):
+            await self.store.write(platform.REPLICAS, key, None)
+
+    async def alone(self, daemon, fault):
+        await self.daemon_faults.alone(daemon, fault)
 
     async def turn_cold(self, replica):
         replica.turn_cold()
@@ -230,10 +217,9 @@
             )
             self.ledger.pop(got.id, None)
             if got.status == 404:
-                self.findings.append(
-                    f"{daemon.name} has no version {version} "
-                    f"{promises.CONFIGURATION_BOUND_S} s after it was accepted"
-                )
+                bound_s = promises.CONFIGURATION_BOUND_S
+                late = f"has no version {version} {bound_s} s after it was accepted"
+                self.findings.append(daemon.finding(late))
 
     def next_fault(self):
         daemon = self.random.choice(self.daemons)
@@ -253,13 +239,10 @@
         if len(zones) > 1 or (zones and self.random.random() < 0.1):
             zone = self.random.choice(zones)
             kinds.append(("evacuate", zone, lambda: self.evacuate(zone)))
-        if self.is_free(daemon):
+        if self.daemon_faults.is_free(daemon):
             kinds += [
-                ("kill", daemon.name, lambda: self.alone(daemon, self.kill)),
-                ("pause", daemon.name, lambda: self.alone(daemon, self.pause)),
-                ("stop", daemon.name, lambda: self.alone(daemon, self.stop)),
-                ("hang up", daemon.name, lambda: self.alone(daemon, self.hang_up)),
-                ("cut store", daemon.name, lambda: self.alone(daemon, self.cut_store)),
+                (name, daemon.name, functools.partial(self.alone, daemon, fault))
+                for name, fault in self.daemon_faults.all().items()
             ]
         return self.random.choice(kinds)
 
@@ -273,24 +256,16 @@
             kinds.append((mode, which, functools.partial(self.spoil, spoiled, mode)))
         return self.random.choice(kinds)
 
-    def is_free(self, daemon):
-        return daemon.is_calm(0) and not getattr(daemon, "busy", False)
-
-    async def alone(self, daemon, fault):
-        """One fault of a daemon's process at a time; links may fail meanwhile."""
-        daemon.busy = True
-        try:
-            await fault(daemon)
-        finally:
-            daemon.busy = False
-
     async def disturb(self, seconds):
         """Two series of faults that overlap; each ends before the run does."""
         end = time.monotonic() + seconds
-        await asyncio.gather(
+        series = [
             self.series(end, self.next_fault, 1.2),
             self.series(end, self.next_answer_fault, 2.0),
-        )
+        ]
+        if self.rollout:
+            series.append(self.rollout.run(seconds))
+        await asyncio.gather(*series)
         await asyncio.gather(*self.pending)
 
     async def series(self, end, next_fault, longest_pause_s):
@@ -298,15 +273,18 @@
             name, which, begin = next_fault()
             self.note(f"{name} {which}")
             self.pending.add(asyncio.create_task(begin()))
-            await asyncio.sleep(self.random.uniform(0.1, longest_pause_s))
+            pause_s = self.random.uniform(0.1, longest_pause_s)
+            await asyncio.sleep(pause_s / self.scale)
 
     # The run.
 
     async def traffic(self, seconds, first):
         directories = [each.directory for each in self.daemons]
         made = [
-            callers.Caller(first + at, self.seed, directories, list(CUSTOMERS))
-            for at in range(CALLERS)
+            callers.Caller(
+                first + at, self.seed, directories, list(CUSTOMERS), self.scale
+            )
+            for at in range(CALLERS * self.scale)
         ]
         end = time.monotonic() + seconds
         await asyncio.gather(*(each.run(end) for each in made))
@@ -320,13 +298,19 @@
         outcomes = await self.traffic(seconds, 0)
         await disturbed
         await asyncio.sleep(promises.RECOVERY_BOUND_S)
-        at_rest = await self.traffic(REST_S, CALLERS)
+        at_rest = await self.traffic(REST_S, CALLERS * self.scale)
         self.check(outcomes + at_rest, at_rest)
         # Connections that still stand are cut off with the loop, which is no error.
         asyncio.get_running_loop().set_exception_handler(lambda *_: None)
         return outcomes + at_rest
 
+    def name_builds(self, outcomes):
+        by_address = {each.callers: each for each in self.daemons}
+        for got in outcomes:
+            got.build = by_address[got.daemon].build_at(got.sent_at)
+
     def check(self, outcomes, at_rest):
+        self.name_builds(outcomes)
         self.findings += promises.runs_too_often(outcomes, self.ledger)
         self.findings += promises.refused_and_run(outcomes, self.ledger)
         self.findings += promises.wrong_answers(outcomes, self.ledger)
@@ -363,25 +347,43 @@
     return ", ".join(f"{word} {count}" for word, count in sorted(counts.items()))
 
 
+def report(findings):
+    for each in findings:
+        by_old = each.build == promises.OLD_BUILD
+        print(f"broken{' by the old build' if by_old else ''}: {each.text}")
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("seed", type=int)
     parser.add_argument("--seconds", type=float, default=20, help="time with faults")
     parser.add_argument("--program", default="build/plain/bin/sapphirereel_entry")
+    parser.add_argument(
+        "--old-program",
+        help="an earlier build: daemons start with it and are replaced one after the "
+        "other, half of them taken back later; what it alone breaks fails no run",
+    )
+    parser.add_argument(
+        "--scale", type=int, default=1, choices=range(1, MOST_SCALE + 1),
+        help="so many times the daemons, replicas and callers",
+    )
     parser.add_argument("--logs", help="folder for the daemons' logs; kept")
     options = parser.parse_args()
     folder = options.logs or tempfile.mkdtemp(prefix="sapphirereel-soak-")
     os.makedirs(folder, exist_ok=True)
-    soak = Soak(options.seed, options.program, folder)
+    new = Build("new", options.program)
+    old = None
+    if options.old_program:
+        old = Build(promises.OLD_BUILD, options.old_program)
+    soak = Soak(options.seed, folder, new, old, options.scale)
     try:
         outcomes = asyncio.run(soak.run(options.seconds))
     finally:
         soak.close()
     print(f"seed {options.seed}: {len(outcomes)} requests: {summary(outcomes)}")
-    for finding in soak.findings:
-        print(f"broken: {finding}")
+    report(soak.findings)
     print(f"logs: {folder}")
-    return 1 if soak.findings else 0
+    return 1 if promises.fails(soak.findings) else 0
 
 
 if __name__ == "__main__":
