Soak: answers that sound processes cut off on kept connections

More than three are a broken promise: no fault of the replica or its link, and the daemon neither killed nor paused meanwhile. Signals to stop and to read the settings again are no excuse.

--- a/test/correctness/soak/promises_test.py
+++ b/test/correctness/soak/promises_test.py
@@ -67,6 +67,33 @@
         self.assertTrue(list(promises.stray_successes([("daemon", 200)])))
         self.assertTrue(list(promises.stray_successes([("daemon", 0)])))
 
+    def test_sound_processes_lose_few_answers(self):
+        def lost(count, disturb=None, status=0, is_kept=True):
+            daemon = Daemon(Build("new", ""), "", "127.0.0.1", "z", [])
+            replica = Replica("plain", "z", {})
+            if disturb:
+                disturb(daemon, replica)
+            got = Outcome("r", "unsafe", "key", daemon.callers, 10.0, status)
+            got.on_kept_connection, got.ended_at = is_kept, 11.0
+            ledger = {"r": [Run(replica.id, 10.1, "c", "")]}
+            return list(
+                promises.lost_by_sound_processes(
+                    [got] * count, ledger, [daemon], [replica]
+                )
+            )
+
+        self.assertFalse(lost(promises.MOST_LOST))
+        self.assertTrue(lost(promises.MOST_LOST + 1))
+        self.assertTrue(lost(9, status=200))
+        self.assertFalse(lost(9, status=502))
+        self.assertFalse(lost(9, is_kept=False))
+        self.assertFalse(lost(9, lambda daemon, _: daemon.outages.note(True, 10.5)))
+        self.assertTrue(lost(9, lambda daemon, _: daemon.outages.note(True, 11.5)))
+        link = "disturbances"
+        self.assertFalse(
+            lost(9, lambda _, replica: getattr(replica.proxy, link).note(True, 10.5))
+        )
+
     def test_streams_are_whole_or_visibly_broken(self):
         whole = promises.whole_stream("r")
         good = outcome(kind="stream", body=whole)
--- a/tools/soak.d/daemons.py
+++ b/tools/soak.d/daemons.py
@@ -8,6 +8,7 @@
 
 from findings import Finding
 from proxy import Proxy
+from spans import Spans
 
 CALLER_PORT, READY_PORT, DIRECTORY_PORT, PEER_PORT = 18740, 18749, 18746, 18720
 GRACE_S = 8
@@ -29,6 +30,8 @@
         self.process = None
         # When it was last disturbed, on the monotonic clock.
         self.disturbed_at = time.monotonic()
+        # Times at which its process was killed or paused.
+        self.outages = Spans()
         # Whether its end was asked for.
         self.may_end = False
         # What the next start runs.
@@ -74,6 +77,7 @@
             self.process = subprocess.Popen(
                 [self.build.program, f"--settings={path}"], stdout=log, stderr=log
             )
+        self.outages.note(False)
         self.may_end = False
         self.disturbed_at = time.monotonic()
         self._starts.append((self.disturbed_at, self.build.name))
@@ -89,6 +93,10 @@
     def send(self, number):
         """Signals this process, and no other."""
         self.disturbed_at = time.monotonic()
+        if number in (signal.SIGKILL, signal.SIGSTOP):
+            self.outages.note(True)
+        if number == signal.SIGCONT:
+            self.outages.note(False)
         if number in (signal.SIGKILL, signal.SIGTERM):
             self.may_end = True
         if self.process.poll() is None:
@@ -109,6 +117,7 @@
 
     def kill(self):
         self.may_end = True
+        self.outages.note(True)
         if not self.ended():
             self.process.send_signal(signal.SIGCONT)
             self.process.kill()
--- a/tools/soak.d/promises.py
+++ b/tools/soak.d/promises.py
@@ -15,6 +15,12 @@
 MOST_PER_COLD_SECOND = int(serving.COLD_PER_S * 1.5 + 5)
 LEAST_SHARE_SERVED_AT_REST = 0.95
 
+MOST_LOST = 3
+# Time in which a fault may still show.
+DISTURBANCE_AFTERMATH_S = 1.0
+# Replicas answer within this time, unless disturbed; routes allow more.
+LONGEST_ANSWER_S = 4.0
+
 # The build that is replaced; its faults are known and printed apart.
 OLD_BUILD = "old"
 
@@ -119,6 +125,30 @@
             yield Finding(f"{daemon} sent {status} while no request waited")
 
 
+def lost_by_sound_processes(outcomes, ledger, daemons, replicas):
+    """Requests on kept connections that ran and whose answers were cut off."""
+    daemon_at = {each.callers: each for each in daemons}
+    replica_of = {each.id: each for each in replicas}
+
+    def is_lost(got):
+        since, until = got.sent_at - DISTURBANCE_AFTERMATH_S, got.ended_at
+        serving_it = [replica_of[run.replica] for run in ledger.get(got.id, [])]
+        is_cut = got.status in (0, 200) and not got.whole
+        return (
+            is_cut
+            and got.on_kept_connection
+            and until - got.sent_at < LONGEST_ANSWER_S
+            and not daemon_at[got.daemon].outages.touch(since, until)
+            and serving_it
+            and all(each.is_sound(since, until) for each in serving_it)
+        )
+
+    lost = [got for got in outcomes if is_lost(got)]
+    if len(lost) > MOST_LOST:
+        for got in lost:
+            yield broken(got, f"was cut off with {got.status} on a kept connection")
+
+
 def wrong_customers(outcomes, ledger, customers):
     for got in outcomes:
         for run in ledger.get(got.id, []):
--- a/tools/soak.d/proxy.py
+++ b/tools/soak.d/proxy.py
@@ -2,15 +2,27 @@
 
 import asyncio
 
+from spans import Spans
+
 
 class Proxy:
     def __init__(self):
-        # open, delay, cut (both ways), cut_out (towards the target), cut_back.
-        self.mode = "open"
+        self.disturbances = Spans()
+        self._mode = "open"
         self.address = None
         self._target = None
         self._links = set()
 
+    @property
+    def mode(self):
+        """open, delay, cut (both ways), cut_out (towards the target), cut_back."""
+        return self._mode
+
+    @mode.setter
+    def mode(self, mode):
+        self._mode = mode
+        self.disturbances.note(mode != "open")
+
     async def open(self, ip, target):
         server = await asyncio.start_server(self._serve, ip, 0)
         self.address = f"{ip}:{server.sockets[0].getsockname()[1]}"
--- a/tools/soak.d/replicas.py
+++ b/tools/soak.d/replicas.py
@@ -11,6 +11,7 @@
 import store as platform
 from faulty_answers import Earlier
 from proxy import Proxy
+from spans import Spans
 
 EVENTS = 30
 EVENT_PAUSE_S = 0.03
@@ -45,8 +46,8 @@
         # Runs of all replicas, by the request's id.
         self.ledger = ledger
         self.proxy = Proxy()
-        # well, hang, reset, error, garble, cut, or one of the faulty answers.
-        self.mode = "well"
+        self._disturbances = Spans()
+        self._mode = "well"
         # When the store acknowledged that it leaves.
         self.left_at = None
         # Moments after that, at which a request still came.
@@ -69,6 +70,23 @@
         self._server = None
         self._open = set()
 
+    @property
+    def mode(self):
+        """well, hang, reset, error, garble, cut, or one of the faulty answers."""
+        return self._mode
+
+    @mode.setter
+    def mode(self, mode):
+        self._mode = mode
+        self._disturbances.note(mode != "well")
+
+    def is_sound(self, since, until):
+        """Whether nothing disturbed it or its link in all that time."""
+        return not (
+            self._disturbances.touch(since, until)
+            or self.proxy.disturbances.touch(since, until)
+        )
+
     async def open(self, ip, store):
         self._server = await asyncio.start_server(self._serve, ip, 0)
         port = self._server.sockets[0].getsockname()[1]
@@ -111,6 +129,7 @@
         }
 
     def crash(self):
+        self.mode = "gone"
         self._server.close()
         for writer in list(self._open):
             writer.transport.abort()
--- a/tools/soak.d/soak.py
+++ b/tools/soak.d/soak.py
@@ -319,6 +319,9 @@
         self.findings += promises.wrong_customers(outcomes, self.ledger, CUSTOMERS)
         self.findings += promises.unasked_runs(outcomes, self.ledger)
         replicas = self.replicas + self.gone
+        self.findings += promises.lost_by_sound_processes(
+            outcomes, self.ledger, self.daemons, replicas
+        )
         self.findings += promises.late_at_leaving(replicas)
         self.findings += promises.reached_evacuated(
             replicas, self.evacuations, self.store.outages
