--- /dev/null
+++ b/tools/soak.d/configuration.py
@@ -0,0 +1,37 @@
+"""The configuration of the soak's deployment."""
+
+from replicas import COLD_PER_S, COLD_S
+
+REQUEST_TIMEOUT_MS = 5_000
+TARGET_LATENCY_MS = 500
+
+
+def route(name, kind, service, **more):
+    return {
+        "name": name, "host": "h", "path-prefix": f"/{name}/",
+        "kind": kind, "service": service, "timeout-ms": REQUEST_TIMEOUT_MS,
+        "target-latency-ms": TARGET_LATENCY_MS, **more,
+    }
+
+
+def of_version(version, customers):
+    """A version, with a route that only it has; customers by key."""
+    cold = {"warmup-s": COLD_S, "cold-per-s": COLD_PER_S}
+    resumable = {"stream-resume": True, "max-attempts": 3}
+    return {
+        "version": version,
+        "routes": [
+            route("safe", "safe", "plain", **{"max-attempts": 2}),
+            route("unsafe", "unsafe", "plain"),
+            route("stream", "streaming", "engine"),
+            route("resume", "streaming", "engine", **resumable),
+            route(f"v{version}", "safe", "plain"),
+        ],
+        "services": [
+            {"name": "plain", **cold},
+            {"name": "engine", "engine": {"kv-cache-tokens": 100_000}, **cold},
+        ],
+        "tenants": [
+            {"name": name, "api-keys": [key]} for key, name in customers.items()
+        ],
+    }
--- a/tools/soak.d/replicas.py
+++ b/tools/soak.d/replicas.py
@@ -72,11 +72,14 @@
 
     @property
     def mode(self):
-        """well, hang, reset, error, garble, cut, or one of the faulty answers."""
+        """well, hang, reset, error, garble, cut, gone, or one of the faulty answers."""
         return self._mode
 
     @mode.setter
     def mode(self, mode):
+        # A fault that ends later doesn't bring a crashed replica back.
+        if self._mode == "gone":
+            return
         self._mode = mode
         self._disturbances.note(mode != "well")
 
--- a/tools/soak.d/soak.py
+++ b/tools/soak.d/soak.py
@@ -12,13 +12,15 @@
 import time
 
 import callers
+import configuration
 import faulty_answers
 import odd_entries
 import promises
 import store as platform
 from daemon_faults import DaemonFaults
 from daemons import Build, Daemon
-from replicas import COLD_PER_S, COLD_S, Replica
+from replica_faults import ReplicaFaults
+from replicas import COLD_S, Replica
 from rollout import Rollout
 from store import Store
 
@@ -60,6 +62,7 @@
             for at, ip in enumerate(ips)
         ]
         self.daemon_faults = DaemonFaults(self.random, self.findings, self.publish)
+        self.replica_faults = ReplicaFaults(self.random)
         self.rollout = None
         if old:
             self.rollout = Rollout(
@@ -93,37 +96,9 @@
         self.replicas.append(made)
 
     async def publish(self):
-        """A next version, with a route that only it has."""
+        """Writes a next version."""
         self.version += 1
-
-        def route(name, kind, service, **more):
-            return {
-                "name": name, "host": "h", "path-prefix": f"/{name}/",
-                "kind": kind, "service": service, "timeout-ms": 5_000,
-                "target-latency-ms": 500, **more,
-            }
-
-        cold = {"warmup-s": COLD_S, "cold-per-s": COLD_PER_S}
-        whole = {
-            "version": self.version,
-            "routes": [
-                route("safe", "safe", "plain", **{"max-attempts": 2}),
-                route("unsafe", "unsafe", "plain"),
-                route("stream", "streaming", "engine"),
-                route(
-                    "resume", "streaming", "engine",
-                    **{"stream-resume": True, "max-attempts": 3},
-                ),
-                route(f"v{self.version}", "safe", "plain"),
-            ],
-            "services": [
-                {"name": "plain", **cold},
-                {"name": "engine", "engine": {"kv-cache-tokens": 100_000}, **cold},
-            ],
-            "tenants": [
-                {"name": name, "api-keys": [key]} for key, name in self.keys.items()
-            ],
-        }
+        whole = configuration.of_version(self.version, self.keys)
         await self.store.write(platform.CONFIGURATION, "config", whole)
         return self.version
 
@@ -134,26 +109,6 @@
         await asyncio.sleep(self.random.uniform(0.5, 4))
         self.store.set_mode("up")
 
-    async def disturb_replica(self, replica):
-        body_fault = "cut" if replica.service == "engine" else "garble"
-        replica.mode = self.random.choice(["hang", "reset", "error", body_fault])
-        await asyncio.sleep(self.random.uniform(0.3, 2))
-        replica.mode = "well"
-
-    async def spoil(self, spoiled, mode):
-        """Some replicas answer wrongly in the same way, as after a faulty update."""
-        for each in spoiled:
-            each.mode = mode
-        await asyncio.sleep(self.random.uniform(1, 4))
-        for each in spoiled:
-            each.mode = "well"
-
-    async def cut_replica(self, replica):
-        replica.proxy.mode = self.random.choice(["cut", "cut_out", "cut_back", "delay"])
-        await asyncio.sleep(self.random.uniform(0.3, 2))
-        replica.proxy.mode = "open"
-        replica.proxy.reset()
-
     async def crash(self, replica):
         self.replicas.remove(replica)
         self.gone.append(replica)
@@ -189,9 +144,6 @@
     async def alone(self, daemon, fault):
         await self.daemon_faults.alone(daemon, fault)
 
-    async def turn_cold(self, replica):
-        replica.turn_cold()
-
     async def evacuate(self, zone):
         key = f"evacuate/{zone}"
         since = await self.store.write(platform.CONFIGURATION, key, {})
@@ -224,12 +176,13 @@
     def next_fault(self):
         daemon = self.random.choice(self.daemons)
         replica = self.random.choice(self.replicas)
+        faults = self.replica_faults
         kinds = [
-            ("disturb replica", replica.id, lambda: self.disturb_replica(replica)),
-            ("cut replica", replica.id, lambda: self.cut_replica(replica)),
+            ("disturb replica", replica.id, lambda: faults.disturb(replica)),
+            ("cut replica", replica.id, lambda: faults.cut(replica)),
             ("crash", replica.id, lambda: self.crash(replica)),
             ("leave", replica.id, lambda: self.leave(replica)),
-            ("turn cold", replica.id, lambda: self.turn_cold(replica)),
+            ("turn cold", replica.id, lambda: faults.turn_cold(replica)),
             ("disturb store", "", self.disturb_store),
             ("change", "", self.change),
         ]
@@ -253,7 +206,10 @@
             count = self.random.randint(1, len(self.replicas) // 2)
             spoiled = self.random.sample(self.replicas, count)
             which = f"at {count} replicas"
-            kinds.append((mode, which, functools.partial(self.spoil, spoiled, mode)))
+            spoil = functools.partial(
+                self.replica_faults.spoil_answers, spoiled, mode
+            )
+            kinds.append((mode, which, spoil))
         return self.random.choice(kinds)
 
     async def disturb(self, seconds):
