--- a/tools/soak.d/proxy.py
+++ b/tools/soak.d/proxy.py
@@ -35,18 +35,17 @@
 
     async def _serve(self, reader, writer):
         host, port = self._target.rsplit(":", 1)
+        ends = {writer}
         try:
             to_reader, to_writer = await asyncio.open_connection(host, int(port))
-        except OSError:
-            writer.transport.abort()
-            return
-        ends = {writer, to_writer}
-        self._links |= ends
-        try:
+            ends.add(to_writer)
+            self._links |= ends
             await asyncio.gather(
                 self._pass(reader, to_writer, "cut_out"),
                 self._pass(to_reader, writer, "cut_back"),
             )
+        except OSError:
+            writer.transport.abort()
         finally:
             self._links -= ends
             for each in ends:
--- a/tools/soak.d/replicas.py
+++ b/tools/soak.d/replicas.py
@@ -114,13 +114,15 @@
     def _cold_ms(self):
         return max(0, int((self._warm_at - time.monotonic()) * 1_000))
 
-    def _state_fields(self):
+    def _state_fields(self, is_spoiled=False):
         """What a response states of the replica.
 
         The limit of a replica that turned cold is checked from shortly after the
-        first response that certainly reaches a daemon.
+        first response that certainly reaches a daemon: one that follows another
+        answer on its connection may be dropped with it.
         """
-        is_received = self.mode == "well" and self.proxy.mode == "open"
+        is_open = self.mode == "well" and self.proxy.mode == "open"
+        is_received = is_open and not is_spoiled
         known_at = time.monotonic() + COLD_KNOWN_S
         is_known = self.cold_spans and self.cold_spans[-1][1] >= self._warm_at
         if is_received and known_at < self._warm_at and not is_known:
@@ -181,23 +183,26 @@
         self.ledger.setdefault(request_id, []).append(run)
         if self.mode == "hang":
             await asyncio.sleep(3_600)
-        await self._write_earlier(writer, earlier)
-        await self._answer(asked, run, request_id, writer, earlier)
+        is_spoiled = await self._write_earlier(writer, earlier)
+        fields = {
+            "X-Sapphirereel-Request-Id": request_id,
+            "X-Sapphirereel-Response-Signature": f"{self.id}.{request_id}",
+        } | self._state_fields(is_spoiled)
+        await self._answer(asked, run, request_id, fields, writer, earlier)
 
     async def _write_earlier(self, writer, earlier):
-        """Writes an answer to an earlier request once more, before the next one."""
+        """Writes an answer to an earlier request once more; whether it did."""
         if earlier.refused_id:
             await asyncio.sleep(faulty_answers.repeat_delay_s(self._random))
             writer.write(faulty_answers.repeated_refusal(self._random, earlier))
             earlier.refused_id = ""
-        elif earlier.answer and self._is_hit(faulty_answers.LATE_EXTRA):
+            return True
+        if earlier.answer and self._is_hit(faulty_answers.LATE_EXTRA):
             writer.write(earlier.answer)
+            return True
+        return False
 
-    async def _answer(self, asked, run, request_id, writer, earlier):
-        fields = {
-            "X-Sapphirereel-Request-Id": request_id,
-            "X-Sapphirereel-Response-Signature": f"{self.id}.{request_id}",
-        } | self._state_fields()
+    async def _answer(self, asked, run, request_id, fields, writer, earlier):
         if self._is_hit(faulty_answers.UNMARKED):
             await asyncio.sleep(0.01)
             run.status, refused = faulty_answers.unmarked_refusal(self._random, fields)
