--- a/tools/soak.d/soak.py
+++ b/tools/soak.d/soak.py
@@ -33,6 +33,8 @@
 WARM_UP_S = 3.0
 REST_S = 4.0
 ENTRY_LIFE_S = 3.0
+# How often another writer adds entries, which are large.
+MOST_ODD_ENTRIES = 3
 # Time without a disturbance from which a daemon's promises with a bound hold.
 CALM_S = 4.0
 CUSTOMERS = {"key-a": "a", "key-b": "b"}
@@ -62,6 +64,7 @@
             for at, ip in enumerate(ips)
         ]
         self.daemon_faults = DaemonFaults(self.random, self.findings, self.publish)
+        self.odd_entries_left = MOST_ODD_ENTRIES
         self.replica_faults = ReplicaFaults(self.random)
         self.rollout = None
         if old:
@@ -128,6 +131,7 @@
 
     async def add_odd_entries(self):
         """Another writer's entries among the replicas', then a restart amid them."""
+        self.odd_entries_left -= 1
         addresses = [each.proxy.address for each in self.replicas]
         entries = odd_entries.of(self.random, addresses)
         for key, raw in entries:
@@ -201,7 +205,9 @@
 
     def next_answer_fault(self):
         """A fault of several replicas at once, or of what is said of them."""
-        kinds = [("odd entries", "", self.add_odd_entries)]
+        kinds = []
+        if self.odd_entries_left:
+            kinds.append(("odd entries", "", self.add_odd_entries))
         for mode in faulty_answers.MODES:
             count = self.random.randint(1, len(self.replicas) // 2)
             spoiled = self.random.sample(self.replicas, count)
