--- a/test/correctness/soak/promises_test.py
+++ b/test/correctness/soak/promises_test.py
@@ -1,14 +1,17 @@
 """Each promise of the soak is found broken where it is, and kept where it is not."""
 
 import os
+import random
 import sys
 import unittest
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "..", "..", "tools", "soak.d"))
 
+import odd_entries  # noqa: E402
 import promises  # noqa: E402
 from callers import Outcome  # noqa: E402
+from daemons import Build, Daemon  # noqa: E402
 from replicas import Replica, Run  # noqa: E402
 
 
@@ -36,6 +39,8 @@
         refused = outcome(status=503, signature="")
         self.assertFalse(found(promises.refused_and_run, refused, []))
         self.assertTrue(found(promises.refused_and_run, refused, [run()]))
+        signed = outcome(status=503)
+        self.assertTrue(found(promises.refused_and_run, signed, [run(status=503)]))
         promised_nothing = outcome(status=502, signature="")
         self.assertFalse(found(promises.refused_and_run, promised_nothing, [run()]))
 
@@ -49,6 +54,46 @@
         cut = outcome(body=b"ans", whole=False)
         self.assertFalse(found(promises.wrong_answers, cut, [run()]))
 
+    def test_answers_name_their_request(self):
+        got = outcome()
+        self.assertFalse(list(promises.answers_to_others([got])))
+        got.answered_id = "r"
+        self.assertFalse(list(promises.answers_to_others([got])))
+        got.answered_id = "another"
+        self.assertTrue(list(promises.answers_to_others([got])))
+
+    def test_no_success_without_a_request(self):
+        self.assertFalse(list(promises.stray_successes([("daemon", 408)])))
+        self.assertTrue(list(promises.stray_successes([("daemon", 200)])))
+        self.assertTrue(list(promises.stray_successes([("daemon", 0)])))
+
+    def test_sound_processes_lose_few_answers(self):
+        def lost(count, disturb=None, status=0, is_kept=True):
+            daemon = Daemon(Build("new", ""), "", "127.0.0.1", "z", [])
+            replica = Replica("plain", "z", {})
+            if disturb:
+                disturb(daemon, replica)
+            got = Outcome("r", "unsafe", "key", daemon.callers, 10.0, status)
+            got.on_kept_connection, got.ended_at = is_kept, 11.0
+            ledger = {"r": [Run(replica.id, 10.1, "c", "")]}
+            return list(
+                promises.lost_by_sound_processes(
+                    [got] * count, ledger, [daemon], [replica]
+                )
+            )
+
+        self.assertFalse(lost(promises.MOST_LOST))
+        self.assertTrue(lost(promises.MOST_LOST + 1))
+        self.assertTrue(lost(9, status=200))
+        self.assertFalse(lost(9, status=502))
+        self.assertFalse(lost(9, is_kept=False))
+        self.assertFalse(lost(9, lambda daemon, _: daemon.outages.note(True, 10.5)))
+        self.assertTrue(lost(9, lambda daemon, _: daemon.outages.note(True, 11.5)))
+        link = "disturbances"
+        self.assertFalse(
+            lost(9, lambda _, replica: getattr(replica.proxy, link).note(True, 10.5))
+        )
+
     def test_streams_are_whole_or_visibly_broken(self):
         whole = promises.whole_stream("r")
         good = outcome(kind="stream", body=whole)
@@ -95,6 +140,19 @@
         self.assertFalse(late(107.9, outages))
         self.assertTrue(late(108.1, outages))
 
+    def test_odd_entries_get_no_requests(self):
+        def reached(wanted):
+            replica = Replica("plain", "z", {})
+            replica.misdirected = [wanted]
+            return list(promises.reached_by_odd_entries([replica]))
+
+        entries = odd_entries.of(random.Random(1), ["127.0.0.1:1"])
+        keys = [key for key, _ in entries]
+        unusable = [key for key in keys if odd_entries.names_no_replica(key)]
+        self.assertTrue(unusable)
+        self.assertTrue(all(reached(key) for key in unusable))
+        self.assertFalse(reached("i-0001"))
+
     def test_cold_replicas_get_few_requests_in_any_second(self):
         def too_many(arrivals):
             replica = Replica("plain", "z", {})
@@ -122,6 +180,24 @@
         self.assertFalse(list(promises.unasked_runs([outcome()], {"r": [run()]})))
         self.assertTrue(list(promises.unasked_runs([outcome()], {"x": [run()]})))
 
+    def test_old_builds_are_told_apart(self):
+        refused = outcome(status=503, signature="")
+        refused.build = promises.OLD_BUILD
+        by_old = found(promises.refused_and_run, refused, [run()])
+        self.assertFalse(promises.fails(by_old))
+        refused.build = "new"
+        by_new = found(promises.refused_and_run, refused, [run()])
+        self.assertTrue(promises.fails(by_old + by_new))
+        # Where the build isn't known it is nobody's excuse.
+        unknown = list(promises.unasked_runs([], {"x": [run()]}))
+        self.assertTrue(promises.fails(unknown))
+
+    def test_the_build_of_a_moment(self):
+        daemon = Daemon(Build("new", ""), "", "127.0.0.1", "z", [])
+        daemon._starts = [(1.0, "old"), (5.0, "new")]
+        self.assertEqual("old", daemon.build_at(4.9))
+        self.assertEqual("new", daemon.build_at(5.0))
+
     def test_service_comes_back(self):
         served = [outcome()] * 99
         lost = outcome(status=0, whole=False)
--- a/tools/soak.d/proxy.py
+++ b/tools/soak.d/proxy.py
@@ -2,15 +2,27 @@
 
 import asyncio
 
+from spans import Spans
+
 
 class Proxy:
     def __init__(self):
-        # open, delay, cut (both ways), cut_out (towards the target), cut_back.
-        self.mode = "open"
+        self.disturbances = Spans()
+        self._mode = "open"
         self.address = None
         self._target = None
         self._links = set()
 
+    @property
+    def mode(self):
+        """open, delay, cut (both ways), cut_out (towards the target), cut_back."""
+        return self._mode
+
+    @mode.setter
+    def mode(self, mode):
+        self._mode = mode
+        self.disturbances.note(mode != "open")
+
     async def open(self, ip, target):
         server = await asyncio.start_server(self._serve, ip, 0)
         self.address = f"{ip}:{server.sockets[0].getsockname()[1]}"
@@ -23,17 +35,21 @@
 
     async def _serve(self, reader, writer):
         host, port = self._target.rsplit(":", 1)
+        ends = {writer}
         try:
             to_reader, to_writer = await asyncio.open_connection(host, int(port))
+            ends.add(to_writer)
+            self._links |= ends
+            await asyncio.gather(
+                self._pass(reader, to_writer, "cut_out"),
+                self._pass(to_reader, writer, "cut_back"),
+            )
         except OSError:
             writer.transport.abort()
-            return
-        self._links |= {writer, to_writer}
-        await asyncio.gather(
-            self._pass(reader, to_writer, "cut_out"),
-            self._pass(to_reader, writer, "cut_back"),
-        )
-        self._links -= {writer, to_writer}
+        finally:
+            self._links -= ends
+            for each in ends:
+                each.close()
 
     async def _pass(self, reader, writer, silenced_by):
         try:
--- a/tools/soak.d/replicas.py
+++ b/tools/soak.d/replicas.py
@@ -6,9 +6,12 @@
 import time
 from dataclasses import dataclass
 
+import faulty_answers
 import http11
 import store as platform
+from faulty_answers import Earlier
 from proxy import Proxy
+from spans import Spans
 
 EVENTS = 30
 EVENT_PAUSE_S = 0.03
@@ -36,15 +39,15 @@
 
 
 class Replica:
-    def __init__(self, service, zone, ledger, is_cold=False):
+    def __init__(self, service, zone, ledger, is_cold=False, seed=0):
         self.id = f"i-{next(_numbers):04d}"
         self.service = service
         self.zone = zone
         # Runs of all replicas, by the request's id.
         self.ledger = ledger
         self.proxy = Proxy()
-        # well, hang, reset, error, garble or cut.
-        self.mode = "well"
+        self._disturbances = Spans()
+        self._mode = "well"
         # When the store acknowledged that it leaves.
         self.left_at = None
         # Moments after that, at which a request still came.
@@ -53,6 +56,8 @@
         self.all_calm = lambda: True
         # Moments at which a request came.
         self.arrivals = []
+        # Ids that requests expected here and that are another replica's.
+        self.misdirected = []
         # Times in which daemons know that it takes only COLD_PER_S.
         self.cold_spans = []
         self._born = time.time()
@@ -60,11 +65,31 @@
         if is_cold:
             self._warm_at = time.monotonic() + COLD_S
             self.cold_spans.append((time.monotonic(), self._warm_at))
-        self._random = random.Random(self.id)
+        self._random = random.Random(f"{seed}.{self.id}")
         self._streams = 0
         self._server = None
         self._open = set()
 
+    @property
+    def mode(self):
+        """well, hang, reset, error, garble, cut, gone, or one of the faulty answers."""
+        return self._mode
+
+    @mode.setter
+    def mode(self, mode):
+        # A fault that ends later doesn't bring a crashed replica back.
+        if self._mode == "gone":
+            return
+        self._mode = mode
+        self._disturbances.note(mode != "well")
+
+    def is_sound(self, since, until):
+        """Whether nothing disturbed it or its link in all that time."""
+        return not (
+            self._disturbances.touch(since, until)
+            or self.proxy.disturbances.touch(since, until)
+        )
+
     async def open(self, ip, store):
         self._server = await asyncio.start_server(self._serve, ip, 0)
         port = self._server.sockets[0].getsockname()[1]
@@ -89,13 +114,15 @@
     def _cold_ms(self):
         return max(0, int((self._warm_at - time.monotonic()) * 1_000))
 
-    def _state_fields(self):
+    def _state_fields(self, is_spoiled=False):
         """What a response states of the replica.
 
         The limit of a replica that turned cold is checked from shortly after the
-        first response that certainly reaches a daemon.
+        first response that certainly reaches a daemon: one that follows another
+        answer on its connection may be dropped with it.
         """
-        is_received = self.mode == "well" and self.proxy.mode == "open"
+        is_open = self.mode == "well" and self.proxy.mode == "open"
+        is_received = is_open and not is_spoiled
         known_at = time.monotonic() + COLD_KNOWN_S
         is_known = self.cold_spans and self.cold_spans[-1][1] >= self._warm_at
         if is_received and known_at < self._warm_at and not is_known:
@@ -107,6 +134,7 @@
         }
 
     def crash(self):
+        self.mode = "gone"
         self._server.close()
         for writer in list(self._open):
             writer.transport.abort()
@@ -114,9 +142,10 @@
 
     async def _serve(self, reader, writer):
         self._open.add(writer)
+        earlier = Earlier()
         try:
             while (asked := await http11.read_message(reader)) is not None:
-                await self._run(asked, writer)
+                await self._run(asked, writer, earlier)
                 await writer.drain()
         except (http11.Broken, ConnectionError):
             pass
@@ -124,10 +153,17 @@
             self._open.discard(writer)
             writer.close()
 
-    async def _run(self, asked, writer):
+    def _is_hit(self, mode):
+        """Whether a request meets the fault of a mode."""
+        return self.mode == mode and self._random.random() < faulty_answers.SHARE
+
+    async def _run(self, asked, writer, earlier):
+        request_id = asked.fields["x-sapphirereel-request-id"]
         wanted = asked.fields.get("x-sapphirereel-expect-instance")
         if wanted != self.id:
-            writer.write(http11.answer(421))
+            self.misdirected.append(wanted)
+            who = {"X-Sapphirereel-Replica-Id": self.id}
+            writer.write(faulty_answers.refusal(request_id, who, 421))
             return
         self.arrivals.append(time.monotonic())
         if self.left_at is not None and self.all_calm():
@@ -135,7 +171,10 @@
         if self.mode == "reset":
             writer.transport.abort()
             return
-        request_id = asked.fields["x-sapphirereel-request-id"]
+        if not earlier.refused_id and self._is_hit(faulty_answers.REPEAT):
+            earlier.refused_id = request_id
+            writer.write(faulty_answers.refusal(request_id, self._state_fields()))
+            return
         run = Run(
             self.id, time.monotonic(),
             asked.fields.get("x-sapphirereel-tenant", ""),
@@ -144,10 +183,31 @@
         self.ledger.setdefault(request_id, []).append(run)
         if self.mode == "hang":
             await asyncio.sleep(3_600)
+        is_spoiled = await self._write_earlier(writer, earlier)
         fields = {
             "X-Sapphirereel-Request-Id": request_id,
             "X-Sapphirereel-Response-Signature": f"{self.id}.{request_id}",
-        } | self._state_fields()
+        } | self._state_fields(is_spoiled)
+        await self._answer(asked, run, request_id, fields, writer, earlier)
+
+    async def _write_earlier(self, writer, earlier):
+        """Writes an answer to an earlier request once more; whether it did."""
+        if earlier.refused_id:
+            await asyncio.sleep(faulty_answers.repeat_delay_s(self._random))
+            writer.write(faulty_answers.repeated_refusal(self._random, earlier))
+            earlier.refused_id = ""
+            return True
+        if earlier.answer and self._is_hit(faulty_answers.LATE_EXTRA):
+            writer.write(earlier.answer)
+            return True
+        return False
+
+    async def _answer(self, asked, run, request_id, fields, writer, earlier):
+        if self._is_hit(faulty_answers.UNMARKED):
+            await asyncio.sleep(0.01)
+            run.status, refused = faulty_answers.unmarked_refusal(self._random, fields)
+            writer.write(refused)
+            return
         is_stream = asked.start[1].startswith(("/stream/", "/resume/"))
         if is_stream and self.mode != "error":
             after = int(asked.fields.get("last-event-id", "0"))
@@ -158,21 +218,34 @@
                 await self._stream(run, request_id, after, fields, writer)
             finally:
                 self._streams -= 1
+            earlier.answer = http11.answer(200, fields, b"id: 1\ndata: late\n\n")
             return
         await asyncio.sleep(0.01)
         run.status = 500 if self.mode == "error" else 200
         run.body = f"{self.id} served {request_id}".encode()
         bytes_out = http11.answer(run.status, fields, run.body)
+        if self._is_hit(faulty_answers.CUT_HEAD):
+            self._cut_head(bytes_out, writer)
+            return
         if self.mode == "garble":
             writer.write(bytes_out[: len(bytes_out) - 5])
             writer.close()
             return
         writer.write(bytes_out)
+        earlier.answer = bytes_out
+
+    def _cut_head(self, bytes_out, writer):
+        writer.write(faulty_answers.cut_head(self._random, bytes_out))
+        writer.close()
 
     async def _stream(self, run, request_id, after, fields, writer):
         run.status = 200
         fields = fields | {"Content-Type": "text/event-stream"}
-        writer.write(http11.answer(200, fields, chunked=True))
+        head = http11.answer(200, fields, chunked=True)
+        if self._is_hit(faulty_answers.CUT_HEAD):
+            self._cut_head(head, writer)
+            return
+        writer.write(head)
         for number in range(after + 1, EVENTS + 1):
             last = " last" if number == EVENTS else ""
             event = f"id: {number}\ndata: {request_id}{last}\n\n".encode()
