--- a/packages/core/src/address_answer.cpp
+++ b/packages/core/src/address_answer.cpp
@@ -1,5 +1,7 @@
 #include "sapphirereel/core/address_answer.hpp"
 
+#include "random_subset.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -21,17 +23,6 @@
     return found;
 }
 
-// The result of std::shuffle differs between standard libraries; this one gives
-// the same order everywhere.
-auto shuffle(std::vector<member>& members, std::mt19937_64& random) -> void
-{
-    for (auto left = members.size(); left > 1; --left)
-    {
-        auto const chosen = static_cast<std::size_t>(random() % left);
-        std::swap(members[left - 1], members[chosen]);
-    }
-}
-
 /// Appends the members that match to `chosen` until it has `limit` members, and
 /// keeps the others in `from`.
 template <class Fits>
