--- a/tools/soak.d/daemon_faults.py
+++ b/tools/soak.d/daemon_faults.py
@@ -6,7 +6,7 @@
 
 from daemons import GRACE_S
 
-LONGEST_SERIES = 4
+LONGEST_SERIES = 3
 
 
 class DaemonFaults:
