--- a/tools/soak.d/replicas.py
+++ b/tools/soak.d/replicas.py
@@ -192,7 +192,7 @@
 
     async def _write_earlier(self, writer, earlier):
         """Writes an answer to an earlier request once more; whether it did."""
-        if earlier.refused_id:
+        if earlier.refused_id and self.mode == faulty_answers.REPEAT:
             await asyncio.sleep(faulty_answers.repeat_delay_s(self._random))
             writer.write(faulty_answers.repeated_refusal(self._random, earlier))
             earlier.refused_id = ""
