Relay: requests in progress are freed with the event loop and the relay

The test ends when the replica has the request, which may be before the response arrives.

Cause: a buffered call owns its upstream call, whose handlers owned the buffered call; nothing ends that cycle if the event loop is destroyed meanwhile. Now the timer alone owns a buffered call, and a relay interrupts its requests in its destructor, while the state that they refer to exists; a stream leaves the listeners of its replica only if it is one. The programs end by _Exit and never came here: no caller was concerned.

--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -110,6 +110,14 @@
         set_permit_handlers();
     }
 
+    /// Ends the requests in progress, because they refer to this node's state.
+    ~relay_node()
+    {
+        interrupt_requests(interruption::stop);
+    }
+    relay_node(relay_node const&) = delete;
+    auto operator=(relay_node const&) -> relay_node& = delete;
+
     /// Opens the sockets and starts the synchronization with log and peers.
     auto start() -> tl::expected<void, std::string>
     {
--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -537,11 +537,17 @@
 
     auto register_stream() -> void
     {
+        is_registered_ = true;
         exchange_.state.streams[target_.id].insert(this);
     }
 
     auto unregister_stream() -> void
     {
+        // The event loop may hold an ended stream longer than the state exists.
+        if (!std::exchange(is_registered_, false))
+        {
+            return;
+        }
         auto const found = exchange_.state.streams.find(target_.id);
         if (found == exchange_.state.streams.end())
         {
@@ -1081,6 +1087,8 @@
     /// Whether the replica has written a response since the run was sent to it.
     bool has_replica_responded_ = false;
     bool has_waited_for_pace_ = false;
+    /// Whether this is notified when its replica leaves.
+    bool is_registered_ = false;
 };
 
 } // namespace sapphirereel::relay
--- a/packages/relay/src/buffered_call.cpp
+++ b/packages/relay/src/buffered_call.cpp
@@ -21,13 +21,26 @@
 {
     auto self = std::shared_ptr<buffered_call>{
         new buffered_call{loop, std::move(done)}};
+    // The timer alone owns the call, because the call owns these handlers.
+    auto const use = [weak = std::weak_ptr<buffered_call>{self}](auto act) {
+        if (auto const held = weak.lock())
+        {
+            act(*held);
+        }
+    };
     self->call_ = pool.start(
         to, std::move(bytes), options,
-        {[self](http::response_head const& head) { self->answer_.head = head; },
-         [self](std::string const& body) { self->answer_.body += body; },
-         [self] { self->finish(std::move(self->answer_)); },
-         [self](call_failure const& why) {
-             self->finish(tl::unexpected(why));
+        {[use](http::response_head const& head) {
+             use([&](buffered_call& of) { of.answer_.head = head; });
+         },
+         [use](std::string const& body) {
+             use([&](buffered_call& of) { of.answer_.body += body; });
+         },
+         [use] {
+             use([](buffered_call& of) { of.finish(std::move(of.answer_)); });
+         },
+         [use](call_failure const& why) {
+             use([&](buffered_call& of) { of.finish(tl::unexpected(why)); });
          }});
     self->timer_.expires_after(limit);
     self->timer_.async_wait([self](std::error_code error) {
--- a/test/support/relay/relay_fleet.hpp
+++ b/test/support/relay/relay_fleet.hpp
@@ -242,9 +242,9 @@
 
     asio::io_context loop;
     std::vector<std::unique_ptr<fake_log>> logs;
-    std::vector<std::unique_ptr<node_type>> nodes;
     std::deque<buffered_response> responses;
     std::vector<std::string> lines;
+    std::vector<std::unique_ptr<node_type>> nodes;
 
 private:
     static auto ip_of(std::size_t daemon) -> std::string
