Relay: heads that replicas cut short are no sign of a lost path

Cause: each attempt that ended before a whole head counted as silence of the path. A part of a head, or a connection that is closed in order, shows that the path carries packets. Refused and reset connections and silence count as before, so that a cut path is still found.

--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -862,7 +862,7 @@
             return;
         }
         exchange_.state.replicas.failed(target_.id, now);
-        if (proof_ != response_proof::unattributable)
+        if (proof_ != response_proof::unattributable && !why.shows_path)
         {
             exchange_.record_path_failure(target_.id, now);
         }
--- a/packages/relay/include/sapphirereel/relay/upstream_call.hpp
+++ b/packages/relay/include/sapphirereel/relay/upstream_call.hpp
@@ -36,6 +36,9 @@
     /// Whether the other side ended the connection, as it does when its process
     /// crashes; a silent one does not.
     bool connection_ended = false;
+    /// Whether the path to the other side works for all that: it sent a part of
+    /// a response's head, or closed the connection in order.
+    bool shows_path = false;
     auto operator<=>(call_failure const&) const = default;
 };
 
@@ -143,6 +146,8 @@
     /// Bytes of the body that arrived.
     std::size_t body_bytes_ = 0;
     bool head_delivered_ = false;
+    /// Whether a part of a response's head has arrived, and not all of it.
+    bool has_partial_head_ = false;
     bool finished_ = false;
     /// Whether the response that is being read is discarded.
     bool is_discarding_ = false;
--- a/packages/relay/src/upstream_call.cpp
+++ b/packages/relay/src/upstream_call.cpp
@@ -79,9 +79,11 @@
         auto const fed = parser_.feed(next);
         if (!fed)
         {
-            fail({call_stage::answering, fed.error()});
+            auto const is_in_head = !parser_.head();
+            fail({call_stage::answering, fed.error(), false, is_in_head});
             return;
         }
+        has_partial_head_ = !parser_.head();
         take_head();
         take_body();
         if (finished_ || !parser_.complete())
@@ -194,7 +196,8 @@
         {head_delivered_ ? call_stage::answering : call_stage::waiting,
          how == connection_end::closed ? "the connection was closed"
                                        : "the connection broke",
-         how != connection_end::broken});
+         how != connection_end::broken,
+         has_partial_head_ || how == connection_end::closed});
 }
 
 auto upstream_call::may_share_connection() const -> bool
