Relay: a daemon returns when its path is back, without callers of its own

Cause: after a trial connection the path is on trial until a request has been answered, and a path on trial was reported as lost; so no request came that could decide it. Now a path that has been on trial for 2.5 s without a response or a failure is no longer reported: the first request that comes is its trial, also one that a peer has forwarded, and a failure closes the path again with the longer interval between trials.

--- a/packages/relay/include/sapphirereel/relay/path_monitor.hpp
+++ b/packages/relay/include/sapphirereel/relay/path_monitor.hpp
@@ -29,7 +29,8 @@
 
     /// Records that a trial connection was established. One request at a time
     /// may then go the direct way, until a replica responds.
-    auto record_trial_connection(service_name const& service) -> void;
+    auto record_trial_connection(service_name const& service, time_point now)
+        -> void;
 
     /// Records that a replica could not be connected to, or did not respond.
     /// `replicas` is the number of the service's replicas. Returns whether the
@@ -55,8 +56,11 @@
         std::string const& request_id,
         time_point now) -> bool;
 
-    /// The services to which the path is lost.
-    [[nodiscard]] auto lost_services() const -> std::vector<service_name>;
+    /// The services to which the path is lost. One is left out if a trial
+    /// connection was established and no request has decided since whether the
+    /// path is back: callers and peers are to send one.
+    [[nodiscard]] auto lost_services(time_point now) const
+        -> std::vector<service_name>;
 
     /// The services for which a trial connection is due; each call counts as
     /// making them.
@@ -82,10 +86,15 @@
         time_point next_trial_at;
         /// Interval of trial connections; grows with each trial that fails.
         duration trial_interval{0};
+        /// When the trial connection was established.
+        time_point on_trial_since;
         /// When a request was let through as a trial.
         std::optional<time_point> trial_request_at;
     };
 
+    [[nodiscard]] static auto
+    needs_trial_request(service_path const& path, time_point now) -> bool;
+
     static auto drop_old_failures(service_path& path, time_point now) -> void;
 
     struct connection_end
--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -176,13 +176,14 @@
     {
         auto ready = std::vector<ready_daemon>{};
         auto pathless = std::vector<ready_daemon>{};
+        auto const now = telemetry::monotonic_now();
         if (is_ready())
         {
-            auto const has_path = state_.paths.lost_services().empty();
+            auto const has_path = state_.paths.lost_services(now).empty();
             (has_path ? ready : pathless)
                 .push_back({settings_.callers.text(), settings_.zone});
         }
-        for (auto const& peer : peers_.alive(telemetry::monotonic_now()))
+        for (auto const& peer : peers_.alive(now))
         {
             if (peer.accepts_callers)
             {
@@ -461,7 +462,8 @@
             state_.gate.limits().entries_to_report(telemetry::monotonic_now());
         report.cold =
             state_.gate.cold().entries_to_report(telemetry::monotonic_now());
-        report.lost_services = state_.paths.lost_services();
+        report.lost_services =
+            state_.paths.lost_services(telemetry::monotonic_now());
         report.waiting = describe_waiting();
         report.paces = state_.replicas.pace().figures().entries_to_report(
             telemetry::monotonic_now());
@@ -636,7 +638,8 @@
                     return;
                 }
                 made->close();
-                state_.paths.record_trial_connection(service);
+                state_.paths.record_trial_connection(
+                    service, telemetry::monotonic_now());
                 state_.log.info(
                     "paths", "connected to a service without a path",
                     {{"service", service}});
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -323,8 +323,8 @@
 
 auto exchange::must_forward(time_point now) -> bool
 {
-    return state.paths.is_lost(service) && may_forward(now) &&
-           state.paths.must_avoid(service, now);
+    // Also for a request that no peer takes, which may be the trial of a path.
+    return state.paths.must_avoid(service, now) && may_forward(now);
 }
 
 auto exchange::hand_over() -> void
--- a/packages/relay/src/path_monitor.cpp
+++ b/packages/relay/src/path_monitor.cpp
@@ -21,6 +21,11 @@
 /// another one.
 constexpr auto trial_request_time = duration{std::chrono::milliseconds{1'000}};
 
+/// Time on trial without a response or a failure after which requests from
+/// everywhere are wanted. A stream that fails by silence takes this long.
+constexpr auto undecided_trial_time =
+    duration{std::chrono::milliseconds{2'500}};
+
 } // namespace
 
 auto path_monitor::record_response(service_name const& service) -> void
@@ -28,12 +33,14 @@
     paths_.erase(service);
 }
 
-auto path_monitor::record_trial_connection(service_name const& service) -> void
+auto path_monitor::record_trial_connection(
+    service_name const& service, time_point now) -> void
 {
     auto const found = paths_.find(service);
     if (found != paths_.end() && found->second.state == path_state::lost)
     {
         found->second.state = path_state::on_trial;
+        found->second.on_trial_since = now;
         found->second.trial_request_at.reset();
     }
 }
@@ -108,12 +115,22 @@
            now - before->at <= coincidence_time;
 }
 
-auto path_monitor::lost_services() const -> std::vector<service_name>
+auto path_monitor::needs_trial_request(
+    service_path const& path, time_point now) -> bool
+{
+    auto const last = path.trial_request_at.value_or(path.on_trial_since);
+    return path.state == path_state::on_trial &&
+           now - last >= undecided_trial_time;
+}
+
+auto path_monitor::lost_services(time_point now) const
+    -> std::vector<service_name>
 {
     auto lost = std::vector<service_name>{};
     for (auto const& [service, path] : paths_)
     {
-        if (path.state != path_state::usable)
+        if (path.state != path_state::usable &&
+            !needs_trial_request(path, now))
         {
             lost.push_back(service);
         }
--- a/test/correctness/relay/cut_heads_do_not_close_a_path.cpp
+++ b/test/correctness/relay/cut_heads_do_not_close_a_path.cpp
@@ -50,7 +50,7 @@
         for (auto const position : {9, 12, 15, 20, 30, 40})
         {
             with.send(fmt::format("/{}/cut-{}", route, position));
-            EXPECT_TRUE(paths.lost_services().empty())
+            EXPECT_TRUE(paths.lost_services(telemetry::monotonic_now()).empty())
                 << route << " " << position;
         }
     }
--- a/test/correctness/relay/lost_paths_are_told_from_lost_replicas.cpp
+++ b/test/correctness/relay/lost_paths_are_told_from_lost_replicas.cpp
@@ -55,7 +55,7 @@
     EXPECT_TRUE(paths.due_trials(at(400)).empty());
     EXPECT_EQ(paths.due_trials(at(500)).size(), 1U);
     EXPECT_TRUE(paths.due_trials(at(510)).empty());
-    paths.record_trial_connection(service);
+    paths.record_trial_connection(service, at(510));
     EXPECT_FALSE(paths.must_avoid(service, at(520)));
     EXPECT_TRUE(paths.must_avoid(service, at(521)));
     // Callers and peers are not told before a replica has responded.
@@ -69,13 +69,32 @@
     auto paths = path_monitor{};
     paths.record_failure(service, one, 4, at(0));
     paths.record_failure(service, two, 4, at(0));
-    paths.record_trial_connection(service);
+    paths.record_trial_connection(service, at(500));
     EXPECT_FALSE(paths.must_avoid(service, at(500)));
     EXPECT_TRUE(paths.record_failure(service, one, 4, at(800)));
     EXPECT_TRUE(paths.due_trials(at(1'700)).empty());
     EXPECT_EQ(paths.due_trials(at(1'800)).size(), 1U);
 }
 
+// Guards against a daemon without callers of its own that stays out for good:
+// only a request can show that its path is back, and none comes while callers
+// and peers are told that it has none.
+TEST(path, that_no_request_has_tried_is_offered_to_callers_and_peers)
+{
+    auto paths = path_monitor{};
+    paths.record_failure(service, one, 4, at(0));
+    paths.record_failure(service, two, 4, at(0));
+    EXPECT_EQ(paths.lost_services(at(499)).size(), 1U);
+    paths.record_trial_connection(service, at(500));
+    EXPECT_EQ(paths.lost_services(at(2'900)).size(), 1U);
+    EXPECT_TRUE(paths.lost_services(at(3'000)).empty());
+    // A trial request is out.
+    EXPECT_FALSE(paths.must_avoid(service, at(3'100)));
+    EXPECT_EQ(paths.lost_services(at(3'200)).size(), 1U);
+    EXPECT_TRUE(paths.record_failure(service, one, 4, at(3'300)));
+    EXPECT_EQ(paths.lost_services(at(9'000)).size(), 1U);
+}
+
 // Resets of several connections at once are no sign that the requests on them
 // crash replicas; those of one request one after the other are.
 TEST(path, that_is_cut_ends_connections_of_several_requests_at_once)
