Relay: a daemon counts the attempts of the peers that it forwards to

Seen once in a trial of the soak: a safe request of a route with two attempts ran three times at two replicas when its peer was killed.

Cause: the daemon that forwards a request counted one attempt for each peer, however often the peer sent it to replicas, and repeated safe requests at up to three peers whatever their route permits. Now it states how many attempts the peer may make, all that are left but one, and counts them as made unless the peer states that nothing ran. The one that is kept goes to another peer if the first fails or is lost; a failure that a replica answered is kept and passed on if nothing better comes. A peer of an earlier version ignores the field, as before; a number that can't be read leaves the limit of the route.

--- a/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
@@ -66,7 +66,7 @@
     {
         return exchange_.runs == 0 ||
                (is_idempotent() &&
-                exchange_.runs < exchange_.granted.route->max_attempts);
+                exchange_.runs < exchange_.granted.max_attempts);
     }
 
     /// Whether a peer may be given the request. One that may have crashed a
@@ -296,7 +296,7 @@
         }
         auto const may_retry =
             head_->status >= 500 && is_idempotent() &&
-            exchange_.runs < exchange_.granted.route->max_attempts;
+            exchange_.runs < exchange_.granted.max_attempts;
         if (may_retry)
         {
             fallback_ = http::response{*head_, body_};
--- a/packages/relay/include/sapphirereel/relay/forwarded_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/forwarded_exchange.hpp
@@ -68,15 +68,20 @@
 
     [[nodiscard]] auto may_run_again() const -> bool
     {
-        auto const& route = *exchange_.granted.route;
-        return !exchange_.may_have_run() ||
-               route.kind == request_kind::idempotent ||
-               next_position({route.may_resume, exchange_.runs,
-                              route.max_attempts, events_.has_begun(),
-                              events_.last_number()})
+        return !exchange_.may_have_run() || may_repeat() ||
+               next_position({may_resume(), exchange_.runs,
+                              exchange_.granted.max_attempts,
+                              events_.has_begun(), events_.last_number()})
                    .has_value();
     }
 
+    /// Whether the route permits another attempt of the whole request.
+    [[nodiscard]] auto may_repeat() const -> bool
+    {
+        return exchange_.granted.route->kind == request_kind::idempotent &&
+               exchange_.runs < exchange_.granted.max_attempts;
+    }
+
     auto attempt() -> void
     {
         auto const now = telemetry::monotonic_now();
@@ -133,7 +138,9 @@
             exchange_.request.last_event = events_.last_number();
         }
         ++exchange_.sends;
-        ++exchange_.runs;
+        permitted_attempts_ = attempts_for_peer(
+            exchange_.granted.max_attempts, exchange_.runs);
+        exchange_.runs += permitted_attempts_;
         auto options = call_options{};
         options.is_head_request = exchange_.request.method == "HEAD";
         options.max_idle = max_idle_for_single_run;
@@ -143,7 +150,9 @@
             peer.endpoint(),
             Format::write_forwarded_request(
                 exchange_.request, left,
-                {{forwarded_by_name, state.self.str()}}),
+                {{forwarded_by_name, state.self.str()},
+                 {permitted_attempts_name,
+                  std::to_string(permitted_attempts_)}}),
             options,
             {[self](http::response_head const& head) { self->head_ = head; },
              [self](std::string const& body) { self->receive(body); },
@@ -324,7 +333,7 @@
             exchange_.state.log.request(
                 exchange_.request.id, "refused by a peer",
                 {{"peer", peer_}, {"reason", body_}});
-            --exchange_.runs;
+            exchange_.runs -= permitted_attempts_;
             refusal_ = http::response{*head_, body_};
             attempt();
             return;
@@ -343,6 +352,12 @@
                  "the peer did not complete the stream"});
             return;
         }
+        if (head_->status >= 500 && may_repeat())
+        {
+            fallback_ = http::response{*head_, body_};
+            attempt();
+            return;
+        }
         finish();
     }
 
@@ -399,7 +414,7 @@
              {"stage", static_cast<int>(why.stage)}});
         if (why.stage == call_stage::connecting)
         {
-            --exchange_.runs;
+            exchange_.runs -= permitted_attempts_;
             --exchange_.sends;
         }
         if ((has_begun_ && !may_resume()) || !may_run_again())
@@ -428,6 +443,11 @@
             exchange_.caller->abort();
             return;
         }
+        if (fallback_)
+        {
+            respond_last(*fallback_);
+            return;
+        }
         if (exchange_.may_have_run())
         {
             exchange_.fail(status, detail);
@@ -435,14 +455,20 @@
         }
         if (refusal_)
         {
-            exchange_.finished = true;
-            exchange_.deadline_timer.cancel();
-            respond(*refusal_);
+            respond_last(*refusal_);
             return;
         }
         exchange_.refuse(why);
     }
 
+    /// Ends the request with a peer's earlier response.
+    auto respond_last(http::response const& answer) -> void
+    {
+        exchange_.finished = true;
+        exchange_.deadline_timer.cancel();
+        respond(answer);
+    }
+
     auto interrupted(interruption why) -> void
     {
         if (exchange_.finished)
@@ -494,8 +520,13 @@
     std::size_t repeated_bytes_ = 0;
     /// Whether a part of the response was passed on.
     bool has_begun_ = false;
+    /// Attempts that the peer that has the request was permitted.
+    std::uint32_t permitted_attempts_ = 0;
     /// The last refusal of a peer.
     std::optional<http::response> refusal_;
+    /// A failure of a replica or a peer, passed on if no other attempt gets a
+    /// better response.
+    std::optional<http::response> fallback_;
 };
 
 } // namespace sapphirereel::relay
--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -293,8 +293,9 @@
     auto serve(
         std::shared_ptr<caller_session> from,
         http::request request,
-        bool is_forwarded = false) -> void
+        std::optional<forward_terms> forwarded = std::nullopt) -> void
     {
+        auto const is_forwarded = forwarded.has_value();
         if (state_.stopping)
         {
             from->close_after_next();
@@ -320,6 +321,12 @@
             return;
         }
         granted->is_forwarded = is_forwarded;
+        if (forwarded)
+        {
+            granted->max_attempts = std::min(
+                granted->max_attempts,
+                forwarded->max_attempts.value_or(granted->max_attempts));
+        }
         auto const now = telemetry::monotonic_now();
         state_.parts.record_request(read->prompt_parts, now);
         if (crashes_replicas(*read, *granted))
@@ -654,14 +661,12 @@
         state_.metrics.add(relay_counter::forwards_received);
         auto const peer = std::string{
             http::find(request.fields, forwarded_by_name).value_or("")};
-        std::erase_if(request.fields, [](http::field const& each) {
-            return http::same_name(each.name, forwarded_by_name);
-        });
+        auto const terms = take_forward_terms(request.fields);
         auto const read = Format::read_request(request);
         state_.log.request(
             read ? read->id : std::string{}, "received from a peer",
             {{"peer", peer}});
-        serve(from, std::move(request), true);
+        serve(from, std::move(request), terms);
     }
 
     /// Serves forwarded requests, the metrics page and copies of the log
--- a/packages/relay/include/sapphirereel/relay/request_admission.hpp
+++ b/packages/relay/include/sapphirereel/relay/request_admission.hpp
@@ -7,6 +7,7 @@
 #include "sapphirereel/http/message.hpp"
 #include "sapphirereel/relay/routing.hpp"
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -108,6 +109,9 @@
     /// Whether a peer has forwarded the request, so that it is not forwarded
     /// again.
     bool is_forwarded = false;
+    /// Most attempts for the request: the route's, or what the peer that has
+    /// forwarded it permits of them.
+    std::uint32_t max_attempts = 1;
 };
 
 /// Admits or refuses a request by the configuration in force; `table` is null
--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -505,7 +505,7 @@
     {
         auto const position = next_position(
             {may_resume(), exchange_.runs,
-             exchange_.granted.route->max_attempts, events_.has_begun(),
+             exchange_.granted.max_attempts, events_.has_begun(),
              events_.last_number()});
         if (!position)
         {
--- a/packages/relay/src/forward_target.cpp
+++ b/packages/relay/src/forward_target.cpp
@@ -1,6 +1,7 @@
 #include "sapphirereel/relay/forward_target.hpp"
 
 #include <algorithm>
+#include <charconv>
 
 namespace sapphirereel::relay {
 namespace {
@@ -64,4 +65,30 @@
     return best;
 }
 
+auto take_forward_terms(http::field_list& fields) -> forward_terms
+{
+    auto terms = forward_terms{};
+    if (auto const stated = http::find(fields, permitted_attempts_name))
+    {
+        auto attempts = std::uint32_t{0};
+        auto const* const end = stated->data() + stated->size();
+        auto const read = std::from_chars(stated->data(), end, attempts);
+        if (read.ec == std::errc{} && read.ptr == end && attempts > 0)
+        {
+            terms.max_attempts = attempts;
+        }
+    }
+    std::erase_if(fields, [](http::field const& each) {
+        return http::same_name(each.name, forwarded_by_name) ||
+               http::same_name(each.name, permitted_attempts_name);
+    });
+    return terms;
+}
+
+auto attempts_for_peer(std::uint32_t max_attempts, std::uint32_t runs)
+    -> std::uint32_t
+{
+    return max_attempts > runs + 2 ? max_attempts - runs - 1 : 1;
+}
+
 } // namespace sapphirereel::relay
--- a/packages/relay/src/request_admission.cpp
+++ b/packages/relay/src/request_admission.cpp
@@ -73,6 +73,7 @@
     }
     auto granted = grant{
         table, found, std::nullopt, now + found->timeout, found->priority};
+    granted.max_attempts = found->max_attempts;
     auto const checks_keys =
         table->configuration().customers && !found->needs_no_key;
     if (checks_keys)
--- a/test/support/relay/cutting_replica.hpp
+++ b/test/support/relay/cutting_replica.hpp
@@ -80,6 +80,9 @@
         return raw_.port;
     }
 
+    /// Requests that were received.
+    int arrivals = 0;
+
     /// Positions at which responses were cut.
     std::set<std::size_t> cuts;
 
@@ -110,6 +113,7 @@
 
     auto serve(connection& to, std::string const& request) -> void
     {
+        ++arrivals;
         auto const id = field_of(request, "X-Sapphirereel-Request-Id: ");
         auto const response = whole_response(id, framing_);
         auto const cut = cut_of(request);
