--- a/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
@@ -294,9 +294,8 @@
                 target_.service, now - sent_at_);
             exchange_.record_output(now);
         }
-        auto const may_retry =
-            head_->status >= 500 && is_idempotent() &&
-            exchange_.runs < exchange_.granted.max_attempts;
+        auto const may_retry = head_->status >= 500 && is_idempotent() &&
+                               exchange_.runs < exchange_.granted.max_attempts;
         if (may_retry)
         {
             fallback_ = http::response{*head_, body_};
--- a/packages/relay/include/sapphirereel/relay/forwarded_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/forwarded_exchange.hpp
@@ -138,8 +138,8 @@
             exchange_.request.last_event = events_.last_number();
         }
         ++exchange_.sends;
-        permitted_attempts_ = attempts_for_peer(
-            exchange_.granted.max_attempts, exchange_.runs);
+        permitted_attempts_ =
+            attempts_for_peer(exchange_.granted.max_attempts, exchange_.runs);
         exchange_.runs += permitted_attempts_;
         auto options = call_options{};
         options.is_head_request = exchange_.request.method == "HEAD";
--- a/packages/relay/include/sapphirereel/relay/path_monitor.hpp
+++ b/packages/relay/include/sapphirereel/relay/path_monitor.hpp
@@ -92,8 +92,8 @@
         std::optional<time_point> trial_request_at;
     };
 
-    [[nodiscard]] static auto
-    needs_trial_request(service_path const& path, time_point now) -> bool;
+    [[nodiscard]] static auto needs_trial_request(
+        service_path const& path, time_point now) -> bool;
 
     static auto drop_old_failures(service_path& path, time_point now) -> void;
 
--- a/packages/relay/src/path_monitor.cpp
+++ b/packages/relay/src/path_monitor.cpp
@@ -115,8 +115,8 @@
            now - before->at <= coincidence_time;
 }
 
-auto path_monitor::needs_trial_request(
-    service_path const& path, time_point now) -> bool
+auto path_monitor::needs_trial_request(service_path const& path, time_point now)
+    -> bool
 {
     auto const last = path.trial_request_at.value_or(path.on_trial_since);
     return path.state == path_state::on_trial &&
@@ -129,8 +129,7 @@
     auto lost = std::vector<service_name>{};
     for (auto const& [service, path] : paths_)
     {
-        if (path.state != path_state::usable &&
-            !needs_trial_request(path, now))
+        if (path.state != path_state::usable && !needs_trial_request(path, now))
         {
             lost.push_back(service);
         }
--- a/test/correctness/relay/calls_end_with_their_event_loop.cpp
+++ b/test/correctness/relay/calls_end_with_their_event_loop.cpp
@@ -1,5 +1,5 @@
-// Guards against calls and requests that own themselves and are never freed when
-// the event loop and the relay end while they are in progress.
+// Guards against calls and requests that own themselves and are never freed
+// when the event loop and the relay end while they are in progress.
 #include "support/relay/relay_fixture.hpp"
 
 #include <gtest/gtest.h>
@@ -16,8 +16,9 @@
         auto loop = asio::io_context{};
         auto pool = upstream_pool{loop};
         auto asked = false;
-        auto const silent = fake_replica{
-            loop, [&](auto const&, auto const&) { asked = true; }};
+        auto const silent = fake_replica{loop, [&](auto const&, auto const&) {
+                                             asked = true;
+                                         }};
         buffered_call::start(
             loop, pool,
             {asio::ip::make_address(process_loopback_ip()), silent.port},
@@ -64,10 +65,10 @@
         ASSERT_TRUE(world.run_until([&] {
             return !engine.requests.empty() && !silent.requests.empty();
         }));
-        world.run_until([end = std::chrono::steady_clock::now() +
-                               milliseconds{100}] {
-            return std::chrono::steady_clock::now() >= end;
-        });
+        world.run_until(
+            [end = std::chrono::steady_clock::now() + milliseconds{100}] {
+                return std::chrono::steady_clock::now() >= end;
+            });
     }
     EXPECT_TRUE(open.expired());
 }
--- a/test/correctness/relay/forwarded_attempts_are_counted.cpp
+++ b/test/correctness/relay/forwarded_attempts_are_counted.cpp
@@ -21,8 +21,7 @@
     {
         fleet.add("p1", "plain", one.port());
         fleet.add("p2", "plain", two.port());
-        fleet.divert(
-            0, {{one.port(), closed.port}, {two.port(), closed.port}});
+        fleet.divert(0, {{one.port(), closed.port}, {two.port(), closed.port}});
     }
 
     auto send(std::string const& target) -> buffered_response
