Stream exchange: demand and pace in a file each

What a stream needs of a replica (memory, prompt, target pause, from its size, the learned lengths and its output) is `stream_demand`; the wait for a replica that holds its pace and the pauses of its runs are `stream_pace`. Both have no template parameter and no I/O.

--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -9,7 +9,9 @@
 #include "sapphirereel/relay/exchange.hpp"
 #include "sapphirereel/relay/forwarded_exchange.hpp"
 #include "sapphirereel/relay/room_wait.hpp"
+#include "sapphirereel/relay/stream_demand.hpp"
 #include "sapphirereel/relay/stream_load.hpp"
+#include "sapphirereel/relay/stream_pace.hpp"
 #include "sapphirereel/relay/stream_position.hpp"
 #include "sapphirereel/relay/stream_resumption.hpp"
 
@@ -76,21 +78,13 @@
               state, std::move(caller), std::move(request), std::move(granted))
         , load_(state.replicas)
         , events_(exchange_.request.last_event)
+        , demand_(exchange_, events_)
+        , pace_(exchange_, demand_)
         , resumption_(exchange_, *this)
         , capacity_timer_(state.loop)
-        , size_(exchange_.request.generation.value_or(generation_size{}))
-        , expected_output_(relay::expected_output(
-              state.output_lengths.curve(length_key()), size_))
-        , room_(exchange_, {need().memory_tokens, size_.prompt})
+        , room_(exchange_, {demand_.counted_tokens(), demand_.prompt_tokens()})
     {}
 
-    /// Key of the learned output lengths: streams of one route are assumed to
-    /// be alike in length.
-    [[nodiscard]] auto length_key() const -> stream_kind
-    {
-        return {service_name{exchange_.granted.route->name}, customer_id{}};
-    }
-
     auto begin() -> void
     {
         auto const self = this->shared_from_this();
@@ -126,32 +120,9 @@
             {{"last_event", *exchange_.request.last_event}});
     }
 
-    [[nodiscard]] auto need() const -> placement_need
-    {
-        return {
-            exchange_.service,
-            counted_memory_tokens(size_, expected_output_, output_tokens()),
-            size_.prompt,
-            exchange_.excluded,
-            {},
-            target_pause()};
-    }
-
-    /// Longest pause that the rest of the run should have; none unless that is
-    /// long enough to need pace.
-    [[nodiscard]] auto target_pause() const -> std::optional<duration>
-    {
-        auto const traits = exchange_.engine();
-        auto const is_long = traits && needs_pace(
-                                           expected_output_ - output_tokens(),
-                                           traits->tokens_per_event);
-        return is_long ? std::optional{exchange_.granted.route->target_pause}
-                       : std::nullopt;
-    }
-
     [[nodiscard]] auto unlimited_need() const -> placement_need override
     {
-        auto requirement = need();
+        auto requirement = demand_.placement();
         requirement.excluded.merge(
             exchange_.state.gate.limits().limited_replicas());
         return requirement;
@@ -159,15 +130,7 @@
 
     [[nodiscard]] auto held_tokens() const -> double override
     {
-        return size_.prompt + output_tokens();
-    }
-
-    [[nodiscard]] auto output_tokens() const -> double
-    {
-        auto const traits = exchange_.engine();
-        auto const per_event = traits ? traits->tokens_per_event : 1;
-        return preceding_tokens(exchange_.request, per_event) +
-               static_cast<double>(events_.count()) * per_event;
+        return demand_.held_tokens();
     }
 
     auto attempt() -> void
@@ -202,7 +165,8 @@
             hold(now);
             return;
         }
-        auto const chosen = exchange_.choose(need(), exchange_.engine(), now);
+        auto const chosen =
+            exchange_.choose(demand_.placement(), exchange_.engine(), now);
         auto const to = chosen ? address_of(chosen->target) : std::nullopt;
         auto const waited = now - exchange_.waiting_since;
         if (!to)
@@ -229,12 +193,15 @@
             return;
         }
         auto& pace = exchange_.state.prefill_pace_of(exchange_.service);
-        auto const tokens_ahead = chosen->pending_prefill_tokens + size_.prompt;
+        auto const tokens_ahead =
+            chosen->pending_prefill_tokens + demand_.prompt_tokens();
         auto const estimate = dispatch_estimate{
             waited, exchange_.granted.route->target_latency,
             pace.time_for(tokens_ahead), chosen->memory_share,
             room_.reserved_share(now)};
-        if (waits_for_pace(*chosen, estimate, now))
+        // A caller that has received events leaves at the first long pause.
+        if (!events_.has_begun() &&
+            pace_.waits_for_pace(chosen->target, estimate, now))
         {
             room_.release();
             wait_for_capacity(waited);
@@ -267,56 +234,6 @@
         send(chosen->target, *to, std::nullopt);
     }
 
-    /// Whether the stream is held for a replica that holds its target pause.
-    auto waits_for_pace(
-        placement const& chosen,
-        dispatch_estimate const& estimate,
-        time_point now) -> bool
-    {
-        auto const target = target_pause();
-        // A caller that has received events leaves at the first long pause.
-        auto const waits =
-            target && !events_.has_begun() && may_wait_for_pace(estimate) &&
-            !exchange_.state.replicas.pace().holds(chosen.target, *target) &&
-            exchange_.state.replicas.is_pace_expected(
-                need(), exchange_.engine(), now);
-        if (waits && !std::exchange(has_waited_for_pace_, true))
-        {
-            exchange_.state.metrics.add(relay_counter::pace_waits);
-        }
-        return waits;
-    }
-
-    /// Counts and logs where a stream that needs pace is sent, if the replicas
-    /// state theirs.
-    auto record_paced_stream(replica const& target) -> void
-    {
-        auto const longest = target_pause();
-        auto& pace = exchange_.state.replicas.pace();
-        auto const* const known = pace.figures().find(target.id);
-        if (!longest || known == nullptr)
-        {
-            return;
-        }
-        auto const holds = pace.holds(target, *longest);
-        exchange_.state.metrics.add(
-            holds ? relay_counter::paced_streams
-                  : relay_counter::paced_streams_elsewhere);
-        exchange_.state.log.request(
-            exchange_.request.id, "placed by pace",
-            {{"replica", target.id},
-             {"usual_pace", known->usual()},
-             {"holds_target", holds},
-             {"waited_for_pace", has_waited_for_pace_}});
-    }
-
-    /// Records the pauses of the run at the present replica.
-    auto record_pauses() -> void
-    {
-        exchange_.state.replicas.pace().record_run(
-            target_, std::exchange(pauses_, {}));
-    }
-
     /// Has a peer serve the request; a retry if a replica had it already.
     auto forward(time_point now) -> void
     {
@@ -398,8 +315,8 @@
              {"memory_share", chosen.memory_share},
              {"candidates", chosen.candidates},
              {"unseen", chosen.unseen_requests},
-             {"prompt_tokens", size_.prompt},
-             {"expected_tokens", expected_output_},
+             {"prompt_tokens", demand_.prompt_tokens()},
+             {"expected_tokens", demand_.expected_output()},
              {"attempt", exchange_.sends + 1},
              {"unread_tokens", chosen.pending_prefill_tokens},
              {"expected_start", estimate.expected_start},
@@ -416,12 +333,12 @@
     {
         auto const now = telemetry::monotonic_now();
         unregister_stream();
-        record_pauses();
-        record_paced_stream(target);
+        pace_.end_run(target_);
+        pace_.record_sent(target);
         target_ = target;
         sent_at_ = now;
         register_stream();
-        auto const memory = need().memory_tokens;
+        auto const memory = demand_.counted_tokens();
         splitter_ = {};
         head_.reset();
         proof_ = response_proof::nothing;
@@ -432,10 +349,10 @@
         {
             events_.begin_run();
         }
-        resumption_.begin_run(target_, expected_output_, now);
+        resumption_.begin_run(target_, demand_.expected_output(), now);
         auto const& backup = resumption_.backup_holder();
         load_.place(
-            target.id, {1, memory, resumed ? 0 : size_.prompt,
+            target.id, {1, memory, resumed ? 0 : demand_.prompt_tokens(),
                         backup ? 0 : held_tokens()});
         exchange_.state.work_placed();
         auto const backup_address =
@@ -504,9 +421,8 @@
     auto send_again(std::string_view why) -> bool
     {
         auto const position = next_position(
-            {may_resume(), exchange_.runs,
-             exchange_.granted.max_attempts, events_.has_begun(),
-             events_.last_number()});
+            {may_resume(), exchange_.runs, exchange_.granted.max_attempts,
+             events_.has_begun(), events_.last_number()});
         if (!position)
         {
             return false;
@@ -562,11 +478,10 @@
 
     auto examine(http::response_head const& head) -> response_use
     {
-        exchange_.record_path_response();
+        has_replica_responded_ = true;
         proof_ = exchange_.examine(
             target_, head, Format::read_response(head),
             call_->may_carry_other_responses());
-        has_replica_responded_ = true;
         return use_of(proof_);
     }
 
@@ -663,16 +578,14 @@
                 relay_timing::pause, time_since_last_event(now));
             if (!resumption_.is_resuming() && !is_sent_again_)
             {
-                pauses_.add(time_since_last_event(now));
+                pace_.add_pause(time_since_last_event(now));
             }
         }
         record_continuation(now);
         resumption_.record_event(now);
         events_.record_forwarded(event.number, now - exchange_.started_at);
         exchange_.state.metrics.add(relay_counter::stream_events);
-        load_.update(
-            counted_memory_tokens(size_, expected_output_, output_tokens()),
-            held_tokens());
+        load_.update(demand_.counted_tokens(), held_tokens());
         exchange_.caller->stream(event.bytes);
         apply_backpressure();
     }
@@ -732,7 +645,7 @@
             return;
         }
         call_->pause();
-        pauses_.exclude();
+        pace_.exclude_run();
         exchange_.caller->on_drained([self = this->shared_from_this()] {
             if (self->call_)
             {
@@ -904,7 +817,7 @@
         capacity_timer_.cancel();
         room_.release();
         resumption_.release();
-        record_pauses();
+        pace_.end_run(target_);
         unregister_stream();
         load_.release();
         exchange_.state.load_changed();
@@ -915,7 +828,8 @@
         if (events_.has_begun())
         {
             exchange_.state.output_lengths.record(
-                length_key(), {0, output_tokens(), is_complete_}, now);
+                demand_.length_key(),
+                {0, demand_.output_tokens(), is_complete_}, now);
         }
     }
 
@@ -1056,12 +970,11 @@
     exchange exchange_;
     stream_load load_;
     event_sequence events_;
+    stream_demand demand_;
+    stream_pace pace_;
     stream_resumption<Format> resumption_;
     asio::steady_timer capacity_timer_;
-    generation_size size_;
-    double expected_output_;
     room_wait room_;
-    /// Whether the stream waits to be attempted again.
     /// Number of the attempt that the capacity timer has scheduled last.
     std::uint64_t capacity_wait_ = 0;
     std::shared_ptr<upstream_call> call_;
@@ -1070,8 +983,6 @@
     /// What the response proves.
     response_proof proof_ = response_proof::nothing;
     event_splitter splitter_;
-    /// Pauses of the run at the present replica.
-    run_pauses pauses_;
     std::string failure_body_;
     /// A replica's failure of a request that was sent again.
     std::optional<http::response> fallback_;
@@ -1086,7 +997,6 @@
     bool is_complete_ = false;
     /// Whether the replica has written a response since the run was sent to it.
     bool has_replica_responded_ = false;
-    bool has_waited_for_pace_ = false;
     /// Whether this is notified when its replica leaves.
     bool is_registered_ = false;
 };
