Relay node: content of reports and lost paths in a file each

`report_content` fills this daemon's reports and applies those of peers, `service_paths` closes, tries and goes round a lost path; both are compiled once in place of with each test.

--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -10,6 +10,8 @@
 #include "sapphirereel/relay/forward_target.hpp"
 #include "sapphirereel/relay/listener.hpp"
 #include "sapphirereel/relay/peer_gossip.hpp"
+#include "sapphirereel/relay/report_content.hpp"
+#include "sapphirereel/relay/service_paths.hpp"
 #include "sapphirereel/relay/stop_policy.hpp"
 #include "sapphirereel/relay/stream_exchange.hpp"
 
@@ -81,6 +83,12 @@
               log,
               seed,
               [this] { peers_.schedule_report(report_scope::all); })
+        , reports_(
+              state_,
+              peers_,
+              settings_.zone,
+              [this] { interrupt_requests(interruption::poison); })
+        , paths_(state_, peers_, settings_.peers.port)
         , tick_(loop)
         , stop_timer_(loop)
     {
@@ -102,10 +110,13 @@
                                  service_name const& service,
                                  std::set<std::string> const& excluded,
                                  time_point now) {
-            return choose_peer(service, excluded, now);
+            return paths_.choose_peer(
+                {service, settings_.zone,
+                 cluster_sync_.configuration_position(), excluded},
+                now);
         };
         state_.path_lost = [this](service_name const& service) {
-            lose_path(service);
+            paths_.close(service);
         };
         set_permit_handlers();
     }
@@ -458,201 +469,26 @@
 
     auto describe() -> peer_report
     {
+        auto const now = telemetry::monotonic_now();
         auto report = peer_report{};
         report.caller_address = settings_.callers.text();
         report.zone = settings_.zone;
         report.accepts_callers = is_ready();
-        report.load = state_.replicas.own_load();
-        report.crashes = state_.crashes.entries_to_report();
-        report.parts = state_.parts.entries_to_report();
-        report.limits =
-            state_.gate.limits().entries_to_report(telemetry::monotonic_now());
-        report.cold =
-            state_.gate.cold().entries_to_report(telemetry::monotonic_now());
-        report.lost_services =
-            state_.paths.lost_services(telemetry::monotonic_now());
-        report.waiting = describe_waiting();
-        report.paces = state_.replicas.pace().figures().entries_to_report(
-            telemetry::monotonic_now());
-        cluster_sync_.fill_report(report, telemetry::monotonic_now());
+        reports_.fill(report, now);
+        cluster_sync_.fill_report(report, now);
         return report;
     }
 
-    /// The streams that wait for room, for services that peers may have more
-    /// or less urgent streams of.
-    [[nodiscard]] auto describe_waiting() const -> std::vector<waiting_entry>
-    {
-        return state_.held.entries_to_report([this](
-                                                 service_name const& service) {
-            return state_.table && state_.table->has_tiered_targets(service);
-        });
-    }
-
     auto apply_report(peer_report const& report, time_point now) -> void
     {
         state_.daemons = peers_.max_daemons();
-        apply_load(report, now);
-        state_.crashes.apply_report(report.crashes, now);
-        apply_part_reports(report.parts, now);
-        apply_limits(report.limits, now);
-        if (report.zone == settings_.zone)
-        {
-            state_.held.set_peer_entries(
-                daemon_id{report.ip}, report.waiting, now);
-        }
-        apply_cold(report.cold, now);
-        state_.replicas.pace().figures().apply_report(
-            report.paces, state_.replicas.replicas(), now);
+        reports_.apply(report, now);
         if (cluster_sync_.apply_report(report, now))
         {
             cluster_sync_.update_reader_role(peers_.alive(now), now);
         }
     }
 
-    /// A ruling ends the requests that it concerns. In a large fleet news is
-    /// passed on, since daemons report to their zone and a few others.
-    auto apply_part_reports(part_reports const& reports, time_point now) -> void
-    {
-        auto const news =
-            state_.parts.apply_report(reports, peers_.is_zoned(), now);
-        if (news == part_news::ruling)
-        {
-            state_.metrics.add(relay_counter::part_rulings);
-            interrupt_requests(interruption::poison);
-        }
-        if (news != part_news::none && peers_.is_zoned())
-        {
-            peers_.schedule_report(report_scope::all);
-        }
-    }
-
-    /// In a large fleet news is passed on, as for prompt parts.
-    auto apply_limits(std::vector<limit_entry> const& limits, time_point now)
-        -> void
-    {
-        auto const has_news = state_.gate.limits().apply_report(limits, now);
-        if (has_news && peers_.is_zoned())
-        {
-            peers_.schedule_report(report_scope::all);
-        }
-    }
-
-    /// In a large fleet news is passed on, as for prompt parts.
-    auto apply_cold(std::vector<cold_entry> const& cold, time_point now) -> void
-    {
-        auto const has_news = state_.gate.cold().apply_report(
-            cold, state_.replicas.replicas(), now);
-        if (has_news && peers_.is_zoned())
-        {
-            peers_.schedule_report(report_scope::all);
-        }
-    }
-
-    /// Rules on parts that were at several crashes, and tells the peers.
-    auto update_parts(time_point now) -> void
-    {
-        auto const found = state_.parts.update(now);
-        for (auto const& part : found)
-        {
-            state_.metrics.add(relay_counter::part_rulings);
-            state_.log.warning(
-                "crashes", "a prompt part was found to crash replicas",
-                {{"part", part}});
-        }
-        if (!found.empty())
-        {
-            interrupt_requests(interruption::poison);
-            peers_.schedule_report(report_scope::all);
-        }
-    }
-
-    /// In a large fleet the load of another zone is known only as a sum.
-    auto apply_load(peer_report const& report, time_point now) -> void
-    {
-        if (!peers_.is_zoned() || report.zone == settings_.zone)
-        {
-            state_.replicas.set_peer_load(
-                daemon_id{report.ip}, report.load, now);
-        }
-        else if (report.zone_load)
-        {
-            state_.replicas.set_zone_load(report.zone, *report.zone_load, now);
-        }
-    }
-
-    // Paths to replicas.
-
-    auto choose_peer(
-        service_name const& service,
-        std::set<std::string> const& excluded,
-        time_point now) -> std::optional<listen_address>
-    {
-        auto const chosen = choose_forward_target(
-            peers_.alive(now),
-            {service, settings_.zone, cluster_sync_.configuration_position(),
-             excluded},
-            state_.forwarded, state_.random);
-        return chosen ? std::optional{listen_address{
-                            *chosen, settings_.peers.port}}
-                      : std::nullopt;
-    }
-
-    /// Tells the peers, and closes the connections, which may hang.
-    auto lose_path(service_name const& service) -> void
-    {
-        state_.metrics.add(relay_counter::paths_lost);
-        state_.log.warning(
-            "paths", "lost the path to a service's replicas",
-            {{"service", service}});
-        for (auto const& [id, each] : state_.replicas.replicas())
-        {
-            auto const to = address_of(each);
-            if (each.service == service && to)
-            {
-                state_.pool.close_idle(*to);
-            }
-        }
-        peers_.schedule_report(report_scope::all);
-    }
-
-    /// Tries one connection to a service without a path. If it succeeds, one
-    /// request is tried.
-    auto try_path(service_name const& service) -> void
-    {
-        auto usable = std::vector<asio::ip::tcp::endpoint>{};
-        for (auto const& [id, each] : state_.replicas.replicas())
-        {
-            auto const to = address_of(each);
-            auto const is_usable =
-                !each.leaving && !state_.replicas.is_evacuated(each);
-            if (each.service == service && is_usable && to)
-            {
-                usable.push_back(*to);
-            }
-        }
-        if (usable.empty())
-        {
-            return;
-        }
-        auto pick =
-            std::uniform_int_distribution<std::size_t>{0, usable.size() - 1};
-        state_.pool.connect(
-            usable[pick(state_.random)], call_options{}.connect_timeout,
-            [this, service](
-                std::shared_ptr<connection> const& made, std::error_code) {
-                if (!made)
-                {
-                    return;
-                }
-                made->close();
-                state_.paths.record_trial_connection(
-                    service, telemetry::monotonic_now());
-                state_.log.info(
-                    "paths", "connected to a service without a path",
-                    {{"service", service}});
-            });
-    }
-
     /// Serves a request that a peer forwarded.
     auto serve_forwarded(
         std::shared_ptr<caller_session> const& from, http::request request)
@@ -744,11 +580,8 @@
         state_.gate.expire(now);
         state_.gate.set_reachable_share(peers_.reachable_share(now));
         state_.paths.expire(now);
-        for (auto const& service : state_.paths.due_trials(now))
-        {
-            try_path(service);
-        }
-        update_parts(now);
+        paths_.try_lost(now);
+        reports_.update_parts(now);
         cluster_sync_.tick(now);
         tick_.expires_after(tick_interval);
         tick_.async_wait([this](std::error_code error) {
@@ -870,6 +703,8 @@
     relay_state state_;
     peer_gossip peers_;
     cluster_sync<Log, Reader> cluster_sync_;
+    report_content reports_;
+    service_paths paths_;
     std::unique_ptr<listener> callers_;
     std::unique_ptr<listener> control_;
     std::list<std::weak_ptr<caller_session>> sessions_;
