Exchanges and stale responses: what stood twice stands once

Both exchanges recorded that the path carries responses before they examined one; `exchange::examine` does so now. Two test files had the same world of one replica that repeats responses; it is `stale_response_world` now, with the same requests and checks.

--- a/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
@@ -221,11 +221,10 @@
 
     auto examine(http::response_head const& head) -> response_use
     {
-        exchange_.record_path_response();
+        has_replica_responded_ = true;
         proof_ = exchange_.examine(
             target_, head, Format::read_response(head),
             call_->may_carry_other_responses());
-        has_replica_responded_ = true;
         return use_of(proof_);
     }
 
--- a/packages/relay/include/sapphirereel/relay/exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/exchange.hpp
@@ -128,7 +128,7 @@
     [[nodiscard]] auto retry_after_for(duration expected_wait) -> duration;
 
     /// Decides what a response proves about this request. Counts and logs one
-    /// that need not be about it.
+    /// that need not be about it, and records that the path carries responses.
     auto examine(
         replica const& at,
         http::response_head const& head,
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -235,6 +235,7 @@
     replica_response const& response,
     bool may_be_about_another) -> response_proof
 {
+    record_path_response();
     record_subject(at, head, response, may_be_about_another);
     auto const proof = proof_of(
         head.status, response, {request.id, at.id, may_be_about_another});
--- a/test/correctness/relay/responses_after_stale_ones_are_delivered.cpp
+++ b/test/correctness/relay/responses_after_stale_ones_are_delivered.cpp
@@ -1,6 +1,6 @@
 // A replica writes an earlier response once more before its response to the
 // request: the caller gets the latter, and the connection is not used again.
-#include "support/relay/stale_response_replica.hpp"
+#include "support/relay/stale_response_world.hpp"
 
 #include <gtest/gtest.h>
 
@@ -9,41 +9,24 @@
 
 constexpr auto own_body = std::string_view{"id: 1\ndata: r2\n\n"};
 
-/// A relay before a replica that writes an earlier response `copies` times.
-struct repeating_replica
+/// Writes an earlier response `copies` times.
+auto repeat(int copies) -> stale_response_replica::stale_response
 {
-    explicit repeating_replica(int copies)
-        : replica(world.loop, [copies](std::string const& earlier) {
-            auto written = std::string{};
-            for (auto at = 0; at < copies; ++at)
-            {
-                written += executed_response(earlier, 200, "stale");
-            }
-            return written;
-        })
-    {
-        replica.executes_first = true;
-        world.configure(1);
-        world.add_at("p", "plain", replica.port());
-        world.add_at("e", "engine", replica.port());
-    }
-
-    auto second_response(std::string const& target) -> buffered_response
-    {
-        EXPECT_TRUE(world.start());
-        EXPECT_TRUE(world.send_request_as("r1", "POST", target));
-        return world.send_request_as("r2", "POST", target);
-    }
-
-    relay_fixture world;
-    stale_response_replica replica;
-};
+    return [copies](std::string const& earlier) {
+        auto written = std::string{};
+        for (auto at = 0; at < copies; ++at)
+        {
+            written += executed_response(earlier, 200, "stale");
+        }
+        return written;
+    };
+}
 
 auto expect_own_response(int copies) -> void
 {
     for (auto const* target : {"/once/a", "/stream/a", "/safe/a"})
     {
-        auto with = repeating_replica{copies};
+        auto with = stale_response_world{repeat(copies)};
         auto const answer = with.second_response(target);
         ASSERT_TRUE(answer) << target;
         EXPECT_EQ(answer->head.status, 200) << target;
@@ -67,7 +50,7 @@
 
 TEST(response_after_a_stale_one, is_not_awaited_after_too_many)
 {
-    auto with = repeating_replica{5};
+    auto with = stale_response_world{repeat(5)};
     auto const answer = with.second_response("/once/a");
     ASSERT_TRUE(answer);
     EXPECT_EQ(answer->head.status, 502);
