Relay: a peer that waits for a silent replica is given up in time

With the attempts of peers counted, a peer that is permitted one attempt waits for its replica until the deadline: it has none left, so it sets no timeout, and the daemon that forwarded the request set none either. A safe request whose replica was silent ended with 504 though its route permits another attempt. The forwarding daemon now ends the attempt after the usual timeout for each attempt that it permitted, and asks another peer.

An answer without end is also no sign of a lost path any more: it came by it.

--- a/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
@@ -9,10 +9,6 @@
 
 namespace sapphirereel::relay {
 
-/// Timeout of an attempt of an idempotent request while another attempt is
-/// left, as a multiple of the route's target latency.
-inline constexpr auto attempt_timeout_factor = 2.0;
-
 /// Serves one request. Kept alive by the handlers of its pending operations.
 template <message_format Format>
 class buffered_exchange
--- a/packages/relay/include/sapphirereel/relay/exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/exchange.hpp
@@ -60,6 +60,10 @@
 inline constexpr auto min_silence_of_failure =
     duration{std::chrono::milliseconds{300}};
 
+/// Timeout of an attempt of an idempotent request while another attempt is
+/// left, as a multiple of the route's target latency.
+inline constexpr auto attempt_timeout_factor = 2.0;
+
 /// Interval at which a request that waits for an open replica looks for one,
 /// and the longest wait as a share of the route's target latency.
 inline constexpr auto open_replica_poll_interval =
--- a/packages/relay/include/sapphirereel/relay/forwarded_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/forwarded_exchange.hpp
@@ -43,6 +43,7 @@
 private:
     explicit forwarded_exchange(exchange const& from)
         : exchange_(from.state, from.caller, from.request, from.granted)
+        , attempt_timer_(from.state.loop)
         , events_(exchange_.request.last_event)
     {
         exchange_.service = from.service;
@@ -161,6 +162,29 @@
              [self](http::response_head const& head) {
                  return self->examine(head);
              }});
+        arm_attempt_timer();
+    }
+
+    /// Limits the time of the peer's attempts if another peer may follow.
+    auto arm_attempt_timer() -> void
+    {
+        if (!may_repeat())
+        {
+            return;
+        }
+        auto const limit = std::chrono::duration_cast<duration>(
+            exchange_.granted.route->target_latency * attempt_timeout_factor *
+            permitted_attempts_);
+        attempt_timer_.expires_after(limit + forward_margin);
+        attempt_timer_.async_wait([self = this->shared_from_this(),
+                                   call = call_](std::error_code error) {
+            if (!error && self->call_ == call)
+            {
+                self->cancel_call();
+                self->attempt_failed(
+                    {call_stage::waiting, "the peer took too long"});
+            }
+        });
     }
 
     /// Decides what the peer's response proves. Only the peer's own word tells
@@ -186,6 +210,7 @@
 
     auto end_attempt() -> void
     {
+        attempt_timer_.cancel();
         call_.reset();
         if (std::exchange(is_counted_, false))
         {
@@ -504,6 +529,7 @@
     }
 
     exchange exchange_;
+    asio::steady_timer attempt_timer_;
     std::shared_ptr<upstream_call> call_;
     /// The peer that has the request, and all that had it.
     std::string peer_;
--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -536,7 +536,7 @@
         // Kept until the handler that runs now has returned.
         auto const ended = call_;
         end_call();
-        source_failed({call_stage::answering, std::string{why}});
+        source_failed({call_stage::answering, std::string{why}, false, true});
     }
 
     auto forward(raw_event const& event, time_point now) -> void
--- a/test/correctness/relay/forwarded_attempts_are_counted.cpp
+++ b/test/correctness/relay/forwarded_attempts_are_counted.cpp
@@ -91,6 +91,30 @@
     EXPECT_EQ(with.forwards(), 2U);
 }
 
+// Guards against a request that waits for one silent replica of a peer until
+// its deadline, though its route permits another attempt.
+TEST(forwarded_request, that_a_replica_does_not_answer_goes_to_another_peer)
+{
+    auto fleet = relay_fleet{peers};
+    auto arrivals = 0;
+    auto replica = fake_replica{
+        fleet.loop, [&](auto const& from, http::request const& request) {
+            if (++arrivals > 1)
+            {
+                serve_normally(from, request);
+            }
+        }};
+    auto const closed =
+        unreachable_port{fleet.loop, unreachable_port::kind::refused};
+    fleet.add("p1", "plain", replica.port);
+    fleet.divert(0, {{replica.port, closed.port}});
+    ASSERT_TRUE(fleet.start());
+    fleet.send_request(0, "/safe/a");
+    ASSERT_TRUE(fleet.run_until([&] { return !fleet.responses.empty(); }));
+    EXPECT_EQ(fleet.count_of(200), 1U);
+    EXPECT_EQ(arrivals, 2);
+}
+
 TEST(forward_terms, leave_one_attempt_for_another_peer)
 {
     EXPECT_EQ(attempts_for_peer(1, 0), 1U);
