Relay: a run that an order may have stopped does not look complete

Cause: a draining replica obeys the order to stop a run, and the response to the order is lost. The migration was given up and nothing remembered it; when the replica then ended the connection between two events, that was a complete stream. Now the end of such a run counts as its loss: it goes on from its backup, is sent again where its route permits that, or is broken off.

--- a/packages/relay/include/sapphirereel/relay/stream_resumption.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_resumption.hpp
@@ -92,6 +92,7 @@
     {
         source_ended_ = false;
         ended_between_events_ = false;
+        may_be_stopped_ = false;
         backup_.choose(
             {stream_.unlimited_need(), at, expected_output}, exchange_.engine(),
             now);
@@ -158,7 +159,7 @@
     {
         if (!migrator_.is_stopping() && !stopped_)
         {
-            return false;
+            return ended_between_events && take_end_of_stopped_run();
         }
         // A replica that stops a run ends its connection as one that completes
         // or loses it.
@@ -308,10 +309,27 @@
         return migration_destination{chosen->target, requirement.memory_tokens};
     }
 
+    /// Handles the end of a run that an order may have stopped whose response
+    /// was lost: whether the run has completed is not known. Returns false if
+    /// there was no such order.
+    auto take_end_of_stopped_run() -> bool
+    {
+        if (!std::exchange(may_be_stopped_, false))
+        {
+            return false;
+        }
+        if (!resume_from_backup(telemetry::monotonic_now()))
+        {
+            stream_.run_lost("the run may have been stopped");
+        }
+        return true;
+    }
+
     auto migration_failed(migration_failure how) -> void
     {
         if (!source_ended_)
         {
+            may_be_stopped_ = how == migration_failure::while_stopping;
             return;
         }
         auto const now = telemetry::monotonic_now();
@@ -405,6 +423,8 @@
     bool source_ended_ = false;
     /// Whether a stream without framing ended where it may be complete.
     bool ended_between_events_ = false;
+    /// Whether the run may have been stopped by an order without a response.
+    bool may_be_stopped_ = false;
     bool drained_while_resuming_ = false;
 };
 
--- a/test/correctness/relay/streams_may_end_with_their_connection.cpp
+++ b/test/correctness/relay/streams_may_end_with_their_connection.cpp
@@ -145,12 +145,23 @@
     }
 }
 
+/// What becomes of the order that stops a run.
+enum class stop_order
+{
+    /// The run is stopped and its copy named.
+    obeyed,
+    /// The run has completed meanwhile.
+    late,
+    /// The run is stopped a little later, and the response is lost.
+    unanswered
+};
+
 /// Two engines whose streams are unframed; the one that runs the request ends
 /// its stream when it is told to stop the run.
 struct migrating_unframed_stream
 {
-    explicit migrating_unframed_stream(bool completes_meanwhile)
-        : run_completes(completes_meanwhile)
+    explicit migrating_unframed_stream(stop_order what)
+        : order(what)
         , one(world.loop, serve())
         , two(world.loop, serve())
     {
@@ -184,11 +195,19 @@
     auto answer_migration(connection& to, std::string const& request) -> void
     {
         auto const stops = request.find("\"last\":true") != std::string::npos;
+        if (stops && order == stop_order::unanswered)
+        {
+            to.reset();
+            stop_timer.expires_after(milliseconds{100});
+            stop_timer.async_wait(
+                [this](std::error_code) { running->close_gracefully(); });
+            return;
+        }
         if (stops)
         {
             running->close_gracefully();
         }
-        auto const is_unknown = stops && run_completes;
+        auto const is_unknown = stops && order == stop_order::late;
         to.send(http::write_response(
             is_unknown ? 404 : 200, {{"Content-Type", "application/json"}},
             is_unknown ? "" : R"({"handle":"h1","create-rev":2})"));
@@ -211,8 +230,9 @@
         return caller.received;
     }
 
-    bool run_completes;
+    stop_order order;
     relay_fixture world;
+    asio::steady_timer stop_timer{world.loop};
     raw_replica one;
     raw_replica two;
     std::string source;
@@ -223,7 +243,7 @@
 // stream is not complete.
 TEST(unframed_stream, that_was_stopped_to_migrate_is_resumed)
 {
-    auto with = migrating_unframed_stream{false};
+    auto with = migrating_unframed_stream{stop_order::obeyed};
     ASSERT_TRUE(with.world.start());
     auto const received = with.run();
     EXPECT_NE(received.find("data: e3"), std::string::npos) << received;
@@ -232,12 +252,23 @@
 
 TEST(unframed_stream, that_ended_before_it_could_be_stopped_is_complete)
 {
-    auto with = migrating_unframed_stream{true};
+    auto with = migrating_unframed_stream{stop_order::late};
     ASSERT_TRUE(with.world.start());
     auto const received = with.run();
     EXPECT_NE(received.find("data: e2"), std::string::npos);
     EXPECT_TRUE(ends_with(received, "0\r\n\r\n")) << received;
 }
 
+// Guards against a stream that looks complete because the response to the order
+// that stopped its run was lost.
+TEST(unframed_stream, that_may_have_been_stopped_does_not_look_complete)
+{
+    auto with = migrating_unframed_stream{stop_order::unanswered};
+    ASSERT_TRUE(with.world.start());
+    auto const received = with.run();
+    EXPECT_NE(received.find("data: e2"), std::string::npos);
+    EXPECT_FALSE(ends_with(received, "0\r\n\r\n")) << received;
+}
+
 } // namespace
 } // namespace sapphirereel::relay::test
