Relay: a path is tried by a request that is sent, and forgotten without replicas

Two faults of one record, both found by review of the path's trial:

A request counted as the trial when it was allowed to go the direct way, also if it was then held for room or refused; it went to a peer with its next attempt, and the path stayed on trial. `must_avoid` only answers now, and both exchanges record the attempt as they send.

A service whose path was lost and whose replicas then left had nothing to try and no response to come: the daemon stayed out of the lists of addresses for good, though it served all other services. Such a path is forgotten.

--- a/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
@@ -172,6 +172,7 @@
 
         target_ = chosen.target;
         sent_at_ = telemetry::monotonic_now();
+        exchange_.record_path_attempt(sent_at_);
         exchange_.state.replicas.add(target_.id, one_request);
         is_counted_ = true;
         exchange_.state.log.request(
--- a/packages/relay/include/sapphirereel/relay/exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/exchange.hpp
@@ -144,8 +144,9 @@
     [[nodiscard]] auto outcome_of(interruption why) const
         -> interruption_outcome;
 
-    /// Records that a replica of the service has sent something, or that the
-    /// attempt at a replica failed without that.
+    /// Records that the request goes to a replica of the service, that one has
+    /// sent something, or that the attempt at one failed without that.
+    auto record_path_attempt(time_point now) -> void;
     auto record_path_response() -> void;
     auto record_path_failure(endpoint_id const& at, time_point now) -> void;
 
--- a/packages/relay/include/sapphirereel/relay/path_monitor.hpp
+++ b/packages/relay/include/sapphirereel/relay/path_monitor.hpp
@@ -45,8 +45,16 @@
     [[nodiscard]] auto is_lost(service_name const& service) const -> bool;
 
     /// Whether a request must not go the direct way. After a trial connection
-    /// the request for which this is false is the trial.
-    auto must_avoid(service_name const& service, time_point now) -> bool;
+    /// one may from time to time.
+    [[nodiscard]] auto must_avoid(
+        service_name const& service, time_point now) const -> bool;
+
+    /// Records that a request goes the direct way; on a path on trial it is the
+    /// trial.
+    auto record_attempt(service_name const& service, time_point now) -> void;
+
+    /// Forgets what is known of the path to a service without replicas.
+    auto forget(service_name const& service) -> void;
 
     /// Records that a replica ended a request's connection. Returns whether
     /// another replica has just ended that of another request: a cut path does
@@ -88,7 +96,7 @@
         duration trial_interval{0};
         /// When the trial connection was established.
         time_point on_trial_since;
-        /// When a request was let through as a trial.
+        /// When the last request was sent as a trial.
         std::optional<time_point> trial_request_at;
     };
 
--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -337,6 +337,7 @@
         pace_.record_sent(target);
         target_ = target;
         sent_at_ = now;
+        exchange_.record_path_attempt(now);
         register_stream();
         auto const memory = demand_.counted_tokens();
         splitter_ = {};
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -289,6 +289,11 @@
          {"kept_connection", may_be_about_another}});
 }
 
+auto exchange::record_path_attempt(time_point now) -> void
+{
+    state.paths.record_attempt(service, now);
+}
+
 auto exchange::record_path_response() -> void
 {
     state.paths.record_response(service);
@@ -324,7 +329,6 @@
 
 auto exchange::must_forward(time_point now) -> bool
 {
-    // Also for a request that no peer takes, which may be the trial of a path.
     return state.paths.must_avoid(service, now) && may_forward(now);
 }
 
--- a/packages/relay/src/path_monitor.cpp
+++ b/packages/relay/src/path_monitor.cpp
@@ -17,8 +17,8 @@
 constexpr auto first_trial_interval = duration{std::chrono::milliseconds{500}};
 constexpr auto max_trial_interval = duration{std::chrono::milliseconds{4'000}};
 
-/// Time after which a request that was let through as a trial is followed by
-/// another one.
+/// Time after which a request that was sent as a trial is followed by another
+/// one.
 constexpr auto trial_request_time = duration{std::chrono::milliseconds{1'000}};
 
 /// Time on trial without a response or a failure after which requests from
@@ -85,7 +85,7 @@
     return found != paths_.end() && found->second.state != path_state::usable;
 }
 
-auto path_monitor::must_avoid(service_name const& service, time_point now)
+auto path_monitor::must_avoid(service_name const& service, time_point now) const
     -> bool
 {
     auto const found = paths_.find(service);
@@ -93,15 +93,26 @@
     {
         return false;
     }
-    auto& path = found->second;
+    auto const& path = found->second;
     auto const may_try = path.state == path_state::on_trial &&
                          (!path.trial_request_at ||
                           now - *path.trial_request_at >= trial_request_time);
-    if (may_try)
+    return !may_try;
+}
+
+auto path_monitor::record_attempt(service_name const& service, time_point now)
+    -> void
+{
+    auto const found = paths_.find(service);
+    if (found != paths_.end() && found->second.state == path_state::on_trial)
     {
-        path.trial_request_at = now;
+        found->second.trial_request_at = now;
     }
-    return !may_try;
+}
+
+auto path_monitor::forget(service_name const& service) -> void
+{
+    paths_.erase(service);
 }
 
 auto path_monitor::record_connection_end(
--- a/packages/relay/src/service_paths.cpp
+++ b/packages/relay/src/service_paths.cpp
@@ -64,6 +64,7 @@
     }
     if (usable.empty())
     {
+        state_->paths.forget(service);
         return;
     }
     auto pick =
--- a/test/correctness/relay/lost_paths_are_told_from_lost_replicas.cpp
+++ b/test/correctness/relay/lost_paths_are_told_from_lost_replicas.cpp
@@ -57,6 +57,9 @@
     EXPECT_TRUE(paths.due_trials(at(510)).empty());
     paths.record_trial_connection(service, at(510));
     EXPECT_FALSE(paths.must_avoid(service, at(520)));
+    // One that is held after all is no trial.
+    EXPECT_FALSE(paths.must_avoid(service, at(520)));
+    paths.record_attempt(service, at(520));
     EXPECT_TRUE(paths.must_avoid(service, at(521)));
     // Callers and peers are not told before a replica has responded.
     EXPECT_TRUE(paths.is_lost(service));
@@ -90,6 +93,7 @@
     EXPECT_TRUE(paths.lost_services(at(3'000)).empty());
     // A trial request is out.
     EXPECT_FALSE(paths.must_avoid(service, at(3'100)));
+    paths.record_attempt(service, at(3'100));
     EXPECT_EQ(paths.lost_services(at(3'200)).size(), 1U);
     EXPECT_TRUE(paths.record_failure(service, one, 4, at(3'300)));
     EXPECT_EQ(paths.lost_services(at(9'000)).size(), 1U);
