Relay: whatever a replica sends shows that the path to it works

Found by review of: a body that can't be read, too many responses to other requests or one that is too long still counted as silence of the path for streams, and a response's head that was cut short did not end the trial of a path. All failures for what was received say that the path works now, and that is recorded like a response.

cut_heads_do_not_close_a_path, cut_responses_never_look_whole and the tests of paths pass with it; the further cases have no test of their own.

--- a/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
@@ -324,7 +324,11 @@
         }
         auto const now = telemetry::monotonic_now();
         exchange_.state.replicas.failed(target_.id, now);
-        if (!has_replica_responded_ && !why.shows_path)
+        if (why.shows_path)
+        {
+            exchange_.record_path_response();
+        }
+        else if (!has_replica_responded_)
         {
             exchange_.record_path_failure(target_.id, now);
         }
--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -776,7 +776,11 @@
             return;
         }
         exchange_.state.replicas.failed(target_.id, now);
-        if (proof_ != response_proof::unattributable && !why.shows_path)
+        if (why.shows_path)
+        {
+            exchange_.record_path_response();
+        }
+        else
         {
             exchange_.record_path_failure(target_.id, now);
         }
--- a/packages/relay/include/sapphirereel/relay/upstream_call.hpp
+++ b/packages/relay/include/sapphirereel/relay/upstream_call.hpp
@@ -36,8 +36,9 @@
     /// Whether the other side ended the connection, as it does when its process
     /// crashes; a silent one does not.
     bool connection_ended = false;
-    /// Whether the path to the other side works for all that: it sent a part of
-    /// a response's head, or closed the connection in order.
+    /// Whether the path to the other side works for all that: it sent a
+    /// response that is not accepted or only a part of its head, or closed the
+    /// connection in order.
     bool shows_path = false;
     auto operator<=>(call_failure const&) const = default;
 };
@@ -134,6 +135,8 @@
     auto begin_discarding() -> void;
     [[nodiscard]] auto may_share_connection() const -> bool;
     auto complete() -> void;
+    /// Fails the call for what the other side has sent.
+    auto fail_response(std::string const& why) -> void;
     auto fail(call_failure const& why) -> void;
 
     upstream_pool* pool_;
--- a/packages/relay/src/upstream_call.cpp
+++ b/packages/relay/src/upstream_call.cpp
@@ -79,8 +79,7 @@
         auto const fed = parser_.feed(next);
         if (!fed)
         {
-            auto const is_in_head = !parser_.head();
-            fail({call_stage::answering, fed.error(), false, is_in_head});
+            fail_response(fed.error());
             return;
         }
         has_partial_head_ = !parser_.head();
@@ -128,9 +127,7 @@
         begin_discarding();
         return;
     case response_use::fail:
-        fail(
-            {call_stage::answering,
-             "the answer is not known to be about this request"});
+        fail_response("the answer is not known to be about this request");
         return;
     }
 }
@@ -140,9 +137,7 @@
     is_discarding_ = true;
     if (++discarded_responses_ > max_discarded_responses)
     {
-        fail(
-            {call_stage::answering,
-             "too many answers are about other requests"});
+        fail_response("too many answers are about other requests");
     }
 }
 
@@ -158,16 +153,14 @@
         discarded_bytes_ += body.size();
         if (discarded_bytes_ > max_discarded_bytes)
         {
-            fail(
-                {call_stage::answering,
-                 "the answer to another request is too long"});
+            fail_response("the answer to another request is too long");
         }
         return;
     }
     body_bytes_ += body.size();
     if (body_bytes_ > options_.max_body_bytes)
     {
-        fail({call_stage::answering, "the body of the answer is too long"});
+        fail_response("the body of the answer is too long");
         return;
     }
     if (!body.empty() && handlers_.body)
@@ -229,6 +222,11 @@
     }
 }
 
+auto upstream_call::fail_response(std::string const& why) -> void
+{
+    fail({call_stage::answering, why, false, true});
+}
+
 auto upstream_call::fail(call_failure const& why) -> void
 {
     if (std::exchange(finished_, true))
