Relay: a replica's failure goes before a peer's

Found by review: a safe request that got a replica's 500 and then a peer's own 502 ended with the 502, and a 500 that came before the request was forwarded was lost. The replica's own failure is kept over both steps. The retry budget of a route with several services is charged to the service that was drawn, too: a forwarded request was withdrawn from another one.

Evidence: forwarded_request.that_fails_gets_the_failure_of_the_replica fails on (502) and passes now. The budget has no test of its own.

--- a/packages/relay/include/sapphirereel/relay/forwarded_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/forwarded_exchange.hpp
@@ -32,11 +32,15 @@
 public:
     /// Takes the request over from an exchange that nothing was sent for, or
     /// whose attempts may be repeated.
-    static auto start(exchange& from) -> void
+    /// `fallback` is a failure that a replica has answered, if one has.
+    static auto start(
+        exchange& from, std::optional<http::response> fallback = std::nullopt)
+        -> void
     {
         from.hand_over();
         auto const self =
             std::shared_ptr<forwarded_exchange>{new forwarded_exchange{from}};
+        self->fallback_ = std::move(fallback);
         self->begin();
     }
 
@@ -46,11 +50,12 @@
         , attempt_timer_(from.state.loop)
         , events_(exchange_.request.last_event)
     {
+        // The peer counts the request. It was recorded for the service that was
+        // drawn here.
+        exchange_.withdraw_from_budget();
         exchange_.service = from.service;
         // A replica may have run the request, so that no refusal may follow.
         exchange_.runs = from.runs;
-        // The peer counts the request.
-        exchange_.withdraw_from_budget();
     }
 
     auto begin() -> void
@@ -76,10 +81,15 @@
                    .has_value();
     }
 
+    [[nodiscard]] auto is_idempotent() const -> bool
+    {
+        return exchange_.granted.route->kind == request_kind::idempotent;
+    }
+
     /// Whether the route permits another attempt of the whole request.
     [[nodiscard]] auto may_repeat() const -> bool
     {
-        return exchange_.granted.route->kind == request_kind::idempotent &&
+        return is_idempotent() &&
                exchange_.runs < exchange_.granted.max_attempts;
     }
 
@@ -377,12 +387,29 @@
                  "the peer did not complete the stream"});
             return;
         }
-        if (head_->status >= 500 && may_repeat())
+        if (head_->status >= 500 && is_idempotent())
+        {
+            take_failure();
+            return;
+        }
+        finish();
+    }
+
+    /// Asks another peer if that is permitted, else passes the failure on; a
+    /// replica's own one goes before a peer's.
+    auto take_failure() -> void
+    {
+        if (!fallback_ || Format::read_response(*head_).is_signed)
         {
             fallback_ = http::response{*head_, body_};
+        }
+        if (may_repeat())
+        {
             attempt();
             return;
         }
+        head_ = fallback_->head;
+        body_ = fallback_->body;
         finish();
     }
 
--- a/test/correctness/relay/forwarded_attempts_are_counted.cpp
+++ b/test/correctness/relay/forwarded_attempts_are_counted.cpp
@@ -115,6 +115,31 @@
     EXPECT_EQ(arrivals, 2);
 }
 
+// Guards against a replica's failure that is replaced by a peer's.
+TEST(forwarded_request, that_fails_gets_the_failure_of_the_replica)
+{
+    auto fleet = relay_fleet{peers};
+    auto arrivals = 0;
+    auto replica = fake_replica{
+        fleet.loop, [&](auto const& from, http::request const& request) {
+            if (++arrivals == 1)
+            {
+                from->respond(500, signed_fields(request), "broken");
+                return;
+            }
+            from->abort();
+        }};
+    auto const closed =
+        unreachable_port{fleet.loop, unreachable_port::kind::refused};
+    fleet.add("p1", "plain", replica.port);
+    fleet.divert(0, {{replica.port, closed.port}});
+    ASSERT_TRUE(fleet.start());
+    fleet.send_request(0, "/safe/a");
+    ASSERT_TRUE(fleet.run_until([&] { return !fleet.responses.empty(); }));
+    EXPECT_EQ(fleet.count_of(500), 1U);
+    EXPECT_EQ(arrivals, 2);
+}
+
 TEST(forward_terms, leave_one_attempt_for_another_peer)
 {
     EXPECT_EQ(attempts_for_peer(1, 0), 1U);
