--- a/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
@@ -133,7 +133,7 @@
             give_up(refusal_reason::retry_budget, 502, "no retry is left");
             return;
         }
-        forwarded_exchange<Format>::start(exchange_, std::move(fallback_));
+        forwarded_exchange<Format>::start(exchange_, fallback_);
     }
 
     /// Waits if a replica may take the request soon, else ends it.
--- a/packages/relay/include/sapphirereel/relay/forwarded_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/forwarded_exchange.hpp
@@ -34,13 +34,13 @@
     /// whose attempts may be repeated.
     /// `fallback` is a failure that a replica has answered, if one has.
     static auto start(
-        exchange& from, std::optional<http::response> fallback = std::nullopt)
-        -> void
+        exchange& from,
+        std::optional<http::response> const& fallback = std::nullopt) -> void
     {
         from.hand_over();
         auto const self =
             std::shared_ptr<forwarded_exchange>{new forwarded_exchange{from}};
-        self->fallback_ = std::move(fallback);
+        self->fallback_ = fallback;
         self->begin();
     }
 
