--- a/review/lib/store.py
+++ b/review/lib/store.py
@@ -43,7 +43,11 @@
                 if self.mode == "busy":
                     writer.write(http11.answer(503))
                 else:
-                    writer.write(await self._answer(asked))
+                    answer = await self._answer(asked)
+                    # A call that waits when the silence begins gets none either.
+                    if self.mode == "silent":
+                        await asyncio.sleep(3_600)
+                    writer.write(answer)
                 await writer.drain()
         except (http11.Broken, OSError):
             pass
