--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,3 +1,4 @@
 #!/usr/bin/env bash
-# Plays the case; see claim.txt. TROUBLE=0 leaves the disruption out.
+# Plays the case and writes record.txt; see claim.txt. TROUBLE=0 leaves the
+# disruption out. Exit code: 1 the rule was broken, 0 it held, 2 could not run.
 cd "$(dirname "$0")" && exec python3 case.py
