A length that the other side states takes no memory and ends no process

Cause: the parser's body type reserves the stated length when the head ends. std::bad_alloc passed from the socket's handler to main().

Fix: a body type of our own takes memory for the bytes that have arrived. Both parsers use it. A buffered answer that states more than is taken, and one to another request that states more than is discarded, fails the call at its head: its caller gets 502, or another replica, without waiting for the rest.

The class, by path: answers of replicas (buffered, streams, forwarded ones), the store's pages, peers' copies, orders to replicas and health checks all go through this parser and acted. Requests of callers and of peers reserved up to max-body-bytes for a head alone; they acted within that limit. Chunk sizes can't act: the parser passes chunks on as they come (tested).

--- a/packages/http/include/sapphirereel/http/message.hpp
+++ b/packages/http/include/sapphirereel/http/message.hpp
@@ -4,6 +4,7 @@
 #define SAPPHIREREEL_HTTP_MESSAGE_HPP
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -60,6 +61,8 @@
     /// Whether the body has neither a length nor chunks, so that the end of the
     /// connection ends it.
     bool ends_with_connection = false;
+    /// Length of the body that the sender states, in bytes.
+    std::optional<std::uint64_t> stated_length = std::nullopt;
     auto operator<=>(response_head const&) const = default;
 };
 
--- a/packages/http/src/request_parser.cpp
+++ b/packages/http/src/request_parser.cpp
@@ -1,8 +1,9 @@
 #include "sapphirereel/http/request_parser.hpp"
 
+#include "arriving_body.hpp"
+
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <limits>
 #include <utility>
 
@@ -11,7 +12,7 @@
 
 namespace beast = boost::beast::http;
 
-using beast_parser = beast::request_parser<beast::string_body>;
+using beast_parser = beast::request_parser<arriving_body>;
 
 /// Whether a header line goes on in the next line, an obsolete form that
 /// parsers read differently.
--- a/packages/http/src/response_parser.cpp
+++ b/packages/http/src/response_parser.cpp
@@ -1,7 +1,8 @@
 #include "sapphirereel/http/response_parser.hpp"
 
+#include "arriving_body.hpp"
+
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <limits>
 #include <utility>
 
@@ -10,16 +11,24 @@
 
 namespace beast = boost::beast::http;
 
-using beast_parser = beast::response_parser<beast::string_body>;
+using beast_parser = beast::response_parser<arriving_body>;
 
-auto read_head(beast_parser const& parser) -> response_head
+/// Reads the head; `to_head` tells that the request was a HEAD.
+auto read_head(beast_parser const& parser, bool to_head) -> response_head
 {
+    auto const status = parser.get().result();
+    auto const has_body = !to_head && status != beast::status::no_content &&
+                          status != beast::status::not_modified;
     auto head = response_head{};
     auto const& message = parser.get();
     head.status = static_cast<int>(message.result_int());
     head.reason = std::string{message.reason()};
     head.keep_alive = parser.keep_alive();
     head.ends_with_connection = parser.need_eof();
+    if (auto const length = parser.content_length(); length && has_body)
+    {
+        head.stated_length = *length;
+    }
     for (auto const& each : message)
     {
         head.fields.push_back(
@@ -87,7 +96,7 @@
                 now.restart();
                 continue;
             }
-            now.head = read_head(*now.parser);
+            now.head = read_head(*now.parser, now.to_head);
         }
         if (error == beast::error::need_more || used == 0)
         {
--- a/packages/relay/include/sapphirereel/relay/upstream_call.hpp
+++ b/packages/relay/include/sapphirereel/relay/upstream_call.hpp
@@ -133,6 +133,10 @@
     auto take_head() -> void;
     auto take_body() -> void;
     auto begin_discarding() -> void;
+    /// Fails the call if the head states a longer body than is taken, without
+    /// waiting for it; returns whether it does.
+    auto refuse_stated_length(http::response_head const& head, response_use use)
+        -> bool;
     [[nodiscard]] auto may_share_connection() const -> bool;
     auto complete() -> void;
     /// Fails the call for what the other side has sent.
--- a/packages/relay/src/upstream_call.cpp
+++ b/packages/relay/src/upstream_call.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <asio/post.hpp>
 #include <charconv>
+#include <fmt/format.h>
 #include <utility>
 
 namespace sapphirereel::relay {
@@ -110,7 +111,7 @@
     auto const& head = *parser_.head();
     auto const use =
         handlers_.examine ? handlers_.examine(head) : response_use::deliver;
-    if (finished_)
+    if (finished_ || refuse_stated_length(head, use))
     {
         return;
     }
@@ -132,6 +133,22 @@
     }
 }
 
+auto upstream_call::refuse_stated_length(
+    http::response_head const& head, response_use use) -> bool
+{
+    auto const limit = use == response_use::discard
+                           ? max_discarded_bytes - discarded_bytes_
+                           : options_.max_body_bytes;
+    if (use == response_use::fail || head.stated_length.value_or(0) <= limit)
+    {
+        return false;
+    }
+    fail_response(fmt::format(
+        "the answer states a body of {} bytes, the limit is {}",
+        *head.stated_length, limit));
+    return true;
+}
+
 auto upstream_call::begin_discarding() -> void
 {
     is_discarding_ = true;
