A field longer than the parser's library holds is refused

Callers saw: nothing yet; found while reading for what else may throw beside a stated length. A caller whose header field is longer than 65,533 bytes, where the configuration's max-header-bytes permits it, or a caller or replica with a trailer of that length, ends the entry process and all requests in it.

Cause: the library stores the length of a field in 16 bits and throws std::length_error for a longer one; nothing caught it.

Fix: one function puts bytes into the parser for requests and responses and turns that exception into the error that long heads have: 431 to a caller, a failed call where a replica sent it. A response's own head can't act, as its limit of 65,536 bytes counts the status line; its trailers acted.

--- a/packages/http/src/request_parser.cpp
+++ b/packages/http/src/request_parser.cpp
@@ -1,6 +1,7 @@
 #include "sapphirereel/http/request_parser.hpp"
 
 #include "arriving_body.hpp"
+#include "parser_input.hpp"
 
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -152,8 +153,8 @@
         now.parser->header_limit(std::numeric_limits<std::uint32_t>::max());
         now.parser->body_limit(now.limits.body_bytes);
         now.parser->eager(true);
-        auto const used = now.parser->put(
-            boost::asio::buffer(now.buffer.data(), head_size), error);
+        auto const head = std::string_view{now.buffer}.substr(0, head_size);
+        auto const used = put_bytes(*now.parser, head, error);
         if (error && error != beast::error::need_more)
         {
             return tl::unexpected(
@@ -172,8 +173,7 @@
     while (!now.parser->is_done() && !now.buffer.empty())
     {
         error.clear();
-        auto const used = now.parser->put(
-            boost::asio::buffer(now.buffer.data(), now.buffer.size()), error);
+        auto const used = put_bytes(*now.parser, now.buffer, error);
         now.buffer.erase(0, used);
         if (error == beast::error::need_more)
         {
--- a/packages/http/src/response_parser.cpp
+++ b/packages/http/src/response_parser.cpp
@@ -1,6 +1,7 @@
 #include "sapphirereel/http/response_parser.hpp"
 
 #include "arriving_body.hpp"
+#include "parser_input.hpp"
 
 #include <boost/beast/http/parser.hpp>
 #include <limits>
@@ -76,8 +77,7 @@
     while (!now.buffer.empty() && !now.parser->is_done())
     {
         auto error = boost::system::error_code{};
-        auto const used = now.parser->put(
-            boost::asio::buffer(now.buffer.data(), now.buffer.size()), error);
+        auto const used = put_bytes(*now.parser, now.buffer, error);
         now.buffer.erase(0, used);
         if (error && error != beast::error::need_more)
         {
--- a/test/correctness/http/stated_lengths_take_no_memory.cpp
+++ b/test/correctness/http/stated_lengths_take_no_memory.cpp
@@ -99,5 +99,42 @@
     }
 }
 
+/// More bytes than one field of a message can hold.
+auto long_value() -> std::string
+{
+    return std::string(70'000, 'v');
+}
+
+TEST(long_field, of_a_request_within_the_limits_is_refused)
+{
+    auto parser = request_parser{};
+    parser.set_limits({1'000'000, 1'000});
+    parser.append(
+        "GET / HTTP/1.1\r\nHost: h\r\nA: " + long_value() + "\r\n\r\n");
+    auto const next = parser.next();
+    ASSERT_FALSE(next);
+    EXPECT_EQ(next.error().status, 431);
+}
+
+TEST(long_field, in_the_trailers_of_a_request_is_refused)
+{
+    auto parser = request_parser{};
+    parser.append(
+        "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "0\r\nA: " +
+        long_value() + "\r\n\r\n");
+    auto const next = parser.next();
+    ASSERT_FALSE(next);
+    EXPECT_EQ(next.error().status, 431);
+}
+
+TEST(long_field, in_the_trailers_of_a_response_is_refused)
+{
+    auto parser = response_parser{};
+    EXPECT_FALSE(parser.feed(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: " +
+        long_value() + "\r\n\r\n"));
+}
+
 } // namespace
 } // namespace sapphirereel::http
