A peer's report whose address is none is dropped

Callers saw: nothing yet; found while reading for what else may throw. A report that names itself by a text that is no IP address and a newer position of the log made the daemon fetch its copy: the address could not be parsed, which throws and ended the process.

Evidence: report_of_a_peer.with_an_address_that_is_none_is_dropped fails on (the report is read), and passes now.

Fix: addresses are checked where reports are read: the report is dropped, a listed address is left out. Addresses of replicas are checked in their records, those of the settings at the start; an address in a request for a permit is only used by a function that returns its error.

--- a/packages/relay/src/peer_report.cpp
+++ b/packages/relay/src/peer_report.cpp
@@ -2,8 +2,11 @@
 
 #include "sapphirereel/relay/peer_report_fields.hpp"
 
+#include <asio/ip/address.hpp>
 #include <chrono>
 #include <msgpack.hpp>
+#include <system_error>
+#include <tuple>
 #include <utility>
 
 namespace sapphirereel::relay {
@@ -126,6 +129,14 @@
     }
 }
 
+/// Whether a text is an IP address, to which connections can be opened.
+auto is_ip(std::string const& text) -> bool
+{
+    auto error = std::error_code{};
+    std::ignore = asio::ip::make_address(text, error);
+    return !error;
+}
+
 auto read_report(msgpack::object const& from) -> std::optional<peer_report>
 {
     auto const fields = list_reader{from};
@@ -137,6 +148,10 @@
     }
     auto const is_oldest = report.version == oldest_report_version;
     report.ip = fields.get<std::string>(ip_at);
+    if (!is_ip(report.ip))
+    {
+        return std::nullopt;
+    }
     report.incarnation = fields.get<std::uint64_t>(incarnation_at);
     report.sequence = fields.get<std::uint64_t>(sequence_at);
     report.caller_address = fields.get<std::string>(caller_address_at);
@@ -154,6 +169,9 @@
     report.crashes = read_crashes(fields.at(crashes_at), fields.at(cleared_at));
     report.known_addresses =
         read_addresses(fields.at(known_addresses_at), is_oldest);
+    std::erase_if(report.known_addresses, [](known_address const& each) {
+        return !is_ip(each.ip);
+    });
     if (!is_oldest)
     {
         read_present_fields(fields, report);
--- a/test/correctness/relay/wrong_lengths_end_one_call.cpp
+++ b/test/correctness/relay/wrong_lengths_end_one_call.cpp
@@ -174,5 +174,22 @@
     EXPECT_TRUE(outcome_of_call(signed_head("10") + "some bytes"));
 }
 
+TEST(report_of_a_peer, with_an_address_that_is_none_is_dropped)
+{
+    // A connection to such an address could not even be tried: the attempt
+    // threw.
+    auto report = peer_report{};
+    report.ip = "no address";
+    EXPECT_FALSE(read_peer_report(write_peer_report(report)));
+    report.ip = "10.0.0.1";
+    report.known_addresses = {
+        {"no address", zone_name{"z"}}, {"10.0.0.2", zone_name{"z"}}};
+    auto const read = read_peer_report(write_peer_report(report));
+    ASSERT_TRUE(read);
+    EXPECT_EQ(
+        read->known_addresses,
+        (std::vector<known_address>{{"10.0.0.2", zone_name{"z"}}}));
+}
+
 } // namespace
 } // namespace sapphirereel::relay::test
