An exception of a handler ends its connection alone

Whatever else a handler may throw had the same effect: nothing stood between it and main().

Cause: asio passes a handler's exception to whoever runs the loop, and nobody took it.

Fix, a rule for the whole program: a connection whose handler throws ends as one that broke, so that its owner answers or retries by its own rules; the loop goes on with the next handler; it is logged ("a handler failed, its connection was ended") and counted (handler_errors).

--- a/packages/relay/include/sapphirereel/relay/connection.hpp
+++ b/packages/relay/include/sapphirereel/relay/connection.hpp
@@ -30,7 +30,9 @@
 };
 
 /// One TCP connection. It stays alive as long as it is open or referenced. All
-/// functions are called on the event loop's thread.
+/// functions are called on the event loop's thread. If a handler throws, the
+/// connection ends as one that broke, and the exception passes on to whoever
+/// runs the loop: it concerns no other connection.
 class connection : public std::enable_shared_from_this<connection>
 {
 public:
@@ -100,6 +102,9 @@
 
     explicit connection(asio::ip::tcp::socket socket);
 
+    /// Runs a handler; ends the connection if it throws.
+    template <class Handler>
+    auto run_handler(Handler const& handler) -> void;
     auto wait_readable() -> void;
     auto read_available() -> void;
     auto write_pending() -> void;
--- a/packages/relay/include/sapphirereel/relay/log_follower.hpp
+++ b/packages/relay/include/sapphirereel/relay/log_follower.hpp
@@ -223,17 +223,39 @@
     {
         log_.newest(
             stream_, [this](tl::expected<keyed_page, log_read_error> page) {
-                if (!page)
-                {
-                    record_failure();
-                    return;
-                }
-                record_success();
-                apply_snapshot(*page);
-                schedule_read(settings_.pause);
+                apply([&] { apply_newest(page); });
             });
     }
 
+    /// Applies the result of a read. If that throws, the read counts as failed
+    /// and is repeated.
+    template <class Work>
+    auto apply(Work const& work) -> void
+    {
+        try
+        {
+            work();
+        }
+        catch (...)
+        {
+            record_failure();
+            throw;
+        }
+    }
+
+    auto apply_newest(tl::expected<keyed_page, log_read_error> const& page)
+        -> void
+    {
+        if (!page)
+        {
+            record_failure();
+            return;
+        }
+        record_success();
+        apply_snapshot(*page);
+        schedule_read(settings_.pause);
+    }
+
     auto apply_snapshot(keyed_page const& page) -> void
     {
         auto const before = cache_.next();
@@ -255,27 +277,33 @@
         log_.read(
             stream_, cache_.next(), settings_.wait,
             [this](tl::expected<keyed_page, log_read_error> page) {
-                if (!page && page.error() == log_read_error::records_trimmed)
-                {
-                    record_success();
-                    read_snapshot();
-                    return;
-                }
-                if (!page)
-                {
-                    record_failure();
-                    return;
-                }
-                record_success();
-                if (page->next.era == cache_.next().era &&
-                    cache_.apply_changes(page->records, page->next))
-                {
-                    callbacks_.changed();
-                }
-                schedule_read(settings_.pause);
+                apply([&] { apply_next(page); });
             });
     }
 
+    auto apply_next(tl::expected<keyed_page, log_read_error> const& page)
+        -> void
+    {
+        if (!page && page.error() == log_read_error::records_trimmed)
+        {
+            record_success();
+            read_snapshot();
+            return;
+        }
+        if (!page)
+        {
+            record_failure();
+            return;
+        }
+        record_success();
+        if (page->next.era == cache_.next().era &&
+            cache_.apply_changes(page->records, page->next))
+        {
+            callbacks_.changed();
+        }
+        schedule_read(settings_.pause);
+    }
+
     auto record_success() -> void
     {
         if (is_lost())
--- a/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
@@ -71,6 +71,8 @@
     /// placed since their reports.
     uncertain_choices,
     copies_refused,
+    /// Exceptions of handlers, each of which ended its connection alone.
+    handler_errors,
     count_of_counters
 };
 
--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -4,6 +4,7 @@
 #ifndef SAPPHIREREEL_RELAY_RELAY_NODE_HPP
 #define SAPPHIREREEL_RELAY_RELAY_NODE_HPP
 
+#include "sapphirereel/core/containment.hpp"
 #include "sapphirereel/relay/address_selection.hpp"
 #include "sapphirereel/relay/buffered_exchange.hpp"
 #include "sapphirereel/relay/cluster_sync.hpp"
@@ -43,6 +44,10 @@
 /// not received all that was sent to them.
 inline constexpr auto exit_margin = duration{std::chrono::milliseconds{200}};
 
+/// Interval at which a planned stop is advanced.
+inline constexpr auto stop_check_interval =
+    duration{std::chrono::milliseconds{50}};
+
 /// Most requests served at once.
 inline constexpr auto max_active_requests = std::size_t{1'500};
 
@@ -248,6 +253,16 @@
         return state_;
     }
 
+    /// Records an exception that a handler threw and that the loop went on
+    /// after.
+    auto record_handler_error(std::string_view why) -> void
+    {
+        state_.metrics.add(relay_counter::handler_errors);
+        state_.log.warning(
+            "process", "a handler failed, its connection was ended",
+            {{"why", std::string{why}}});
+    }
+
 private:
     // Callers.
 
@@ -565,7 +580,21 @@
 
     auto tick() -> void
     {
-        auto const now = telemetry::monotonic_now();
+        run_then(
+            [this] { work_periodically(telemetry::monotonic_now()); },
+            [this] {
+                tick_.expires_after(tick_interval);
+                tick_.async_wait([this](std::error_code error) {
+                    if (!error)
+                    {
+                        tick();
+                    }
+                });
+            });
+    }
+
+    auto work_periodically(time_point now) -> void
+    {
         if (peers_.report_if_due(now))
         {
             cluster_sync_.update_reader_role(peers_.alive(now), now);
@@ -583,13 +612,6 @@
         paths_.try_lost(now);
         reports_.update_parts(now);
         cluster_sync_.tick(now);
-        tick_.expires_after(tick_interval);
-        tick_.async_wait([this](std::error_code error) {
-            if (!error)
-            {
-                tick();
-            }
-        });
     }
 
     /// Records when the configuration in force last changed.
@@ -606,7 +628,31 @@
 
     auto check_stop() -> void
     {
-        auto const now = telemetry::monotonic_now();
+        auto is_done = false;
+        run_then(
+            [&] { is_done = advance_stop(telemetry::monotonic_now()); },
+            [&] {
+                if (!is_done)
+                {
+                    schedule_stop_check();
+                }
+            });
+    }
+
+    auto schedule_stop_check() -> void
+    {
+        stop_timer_.expires_after(stop_check_interval);
+        stop_timer_.async_wait([this](std::error_code error) {
+            if (!error)
+            {
+                check_stop();
+            }
+        });
+    }
+
+    /// Does what is due in a planned stop; returns whether it has ended.
+    auto advance_stop(time_point now) -> bool
+    {
         auto const stopping_for = since(stop_began_, now);
         if (stopping_for >= close_idle_after &&
             !std::exchange(stop_closes_idle_, true))
@@ -637,15 +683,9 @@
                 "stop", "stopped",
                 {{"broken_off", cut}, {"after", stopping_for}});
             on_stopped_();
-            return;
+            return true;
         }
-        stop_timer_.expires_after(std::chrono::milliseconds{50});
-        stop_timer_.async_wait([this](std::error_code error) {
-            if (!error)
-            {
-                check_stop();
-            }
-        });
+        return false;
     }
 
     /// Ends the requests that an interruption concerns: with an answer where
--- a/packages/relay/src/connection.cpp
+++ b/packages/relay/src/connection.cpp
@@ -142,6 +142,20 @@
     std::shared_ptr<connection> target;
 };
 
+template <class Handler>
+auto connection::run_handler(Handler const& handler) -> void
+{
+    try
+    {
+        handler();
+    }
+    catch (...)
+    {
+        end(connection_end::broken);
+        throw;
+    }
+}
+
 auto connection::wait_readable() -> void
 {
     if (waiting_readable_ || !socket_.is_open())
@@ -187,7 +201,7 @@
         // Copied because the handler may replace the connection's handlers
         // while it runs.
         auto const received = handlers_.received;
-        received(std::string_view{buffer.data(), size});
+        run_handler([&] { received(std::string_view{buffer.data(), size}); });
     }
     if (socket_.is_open() && (reading_ || closing_))
     {
@@ -252,7 +266,7 @@
     else if (handlers_.drained)
     {
         auto const drained = handlers_.drained;
-        drained();
+        run_handler(drained);
     }
 }
 
--- a/packages/relay/src/listener.cpp
+++ b/packages/relay/src/listener.cpp
@@ -1,5 +1,7 @@
 #include "sapphirereel/relay/listener.hpp"
 
+#include "sapphirereel/core/containment.hpp"
+
 #include <utility>
 
 namespace sapphirereel::relay {
@@ -56,11 +58,14 @@
             {
                 return;
             }
-            if (!error)
-            {
-                accepted_(std::move(socket));
-            }
-            accept_next();
+            run_then(
+                [&] {
+                    if (!error)
+                    {
+                        accepted_(std::move(socket));
+                    }
+                },
+                [this] { accept_next(); });
         });
 }
 
--- a/packages/relay/src/peer_socket.cpp
+++ b/packages/relay/src/peer_socket.cpp
@@ -1,5 +1,7 @@
 #include "sapphirereel/relay/peer_socket.hpp"
 
+#include "sapphirereel/core/containment.hpp"
+
 #include <utility>
 
 namespace sapphirereel::relay {
@@ -53,8 +55,7 @@
             {
                 return;
             }
-            receive_waiting();
-            wait();
+            run_then([this] { receive_waiting(); }, [this] { wait(); });
         });
 }
 
--- a/packages/relay/src/relay_metrics.cpp
+++ b/packages/relay/src/relay_metrics.cpp
@@ -66,7 +66,8 @@
     "paced_streams_elsewhere",
     "pace_waits",
     "uncertain_choices",
-    "copies_refused"};
+    "copies_refused",
+    "handler_errors"};
 
 constexpr auto timing_names = std::array<
     std::string_view,
