A missing entry is a replica that has left at one moment after an outage

Fix: `lapsed_replicas` settles until when a replica is used at the moment at which its entry is found missing: 2.2 s after the log was back, and never longer than drain-ms after that. "Back" is when the first call was sent that it answered, as a long poll's answer may come a second later. Looking again puts nothing off.

--- a/packages/relay/include/sapphirereel/relay/cluster_sync.hpp
+++ b/packages/relay/include/sapphirereel/relay/cluster_sync.hpp
@@ -8,6 +8,7 @@
 #include "sapphirereel/relay/buffered_call.hpp"
 #include "sapphirereel/relay/evacuation.hpp"
 #include "sapphirereel/relay/exchange.hpp"
+#include "sapphirereel/relay/lapsed_replicas.hpp"
 #include "sapphirereel/relay/leaving_replica_set.hpp"
 #include "sapphirereel/relay/log_follower.hpp"
 #include "sapphirereel/relay/log_reader_selection.hpp"
@@ -49,12 +50,6 @@
 inline constexpr auto fetch_timeout = duration{std::chrono::milliseconds{800}};
 inline constexpr auto fetch_interval = duration{std::chrono::milliseconds{50}};
 
-/// Time for which a replica that disappeared without draining stays in the list
-/// after the log is reachable again or was restored. Entries that expired
-/// during the outage, or that the restored log lacks, are written again within
-/// this time.
-inline constexpr auto lapse_grace = duration{std::chrono::milliseconds{2'200}};
-
 /// Keeps the configuration and the replicas in `relay_state` up to date.
 /// `Reader` decodes records of the log. Must outlive the loop's run.
 template <keyed_log Log, class Reader>
@@ -99,6 +94,7 @@
               },
               callbacks_of(
                   keyed_stream::replicas, [this] { replicas_changed(); }))
+        , lapsed_(settings.drain_limit)
     {
         state_.replica_announced_leaving = [this](replica const& which) {
             announced_leaving(which, telemetry::monotonic_now());
@@ -149,8 +145,7 @@
     /// access to the log, which may change the selection of primary readers.
     auto apply_report(peer_report const& report, time_point now) -> bool
     {
-        peer_grace_until_ =
-            std::max(peer_grace_until_, now + report.lapse_grace);
+        apply_doubt(report, now);
         apply_leaving(report, now);
         postpone_first_read();
         fetch_if_behind(report, now);
@@ -176,9 +171,12 @@
     /// Handles expired timers and reports a change in the log's reachability.
     auto tick(time_point now) -> void
     {
-        if (recheck_lapsed_at_ != time_point{} && now >= recheck_lapsed_at_)
+        if (is_primary_log_reader_ && !replicas_.is_log_reachable())
+        {
+            lapsed_.prolong(now + lapse_grace);
+        }
+        if (auto const end = lapsed_.next_end(); end && now >= *end)
         {
-            recheck_lapsed_at_ = {};
             replicas_changed();
         }
         leaving_.expire(now);
@@ -263,18 +261,45 @@
              {"next", after.offset}});
     }
 
-    /// Time for which records of replicas that run may be missing from the log,
-    /// as far as this daemon's own reads show it.
-    [[nodiscard]] auto lapse_grace_left(time_point now) const -> duration
+    /// Until when entries of replicas that run may be missing from the log, as
+    /// far as this daemon's own reads show it.
+    [[nodiscard]] auto own_doubt_until(time_point now) const -> time_point
     {
         if (is_primary_log_reader_ && replicas_.is_lost())
         {
-            return lapse_grace;
+            return now + lapse_grace;
+        }
+        auto const returned_by = replicas_.returned_by();
+        return returned_by ? *returned_by + lapse_grace : now;
+    }
+
+    [[nodiscard]] auto lapse_grace_left(time_point now) const -> duration
+    {
+        return std::max(duration{0}, own_doubt_until(now) - now);
+    }
+
+    /// The same, as far as this daemon or its peers can tell. One that reads
+    /// the log all the while knows best.
+    [[nodiscard]] auto doubt_until(time_point now) const -> time_point
+    {
+        auto const own = own_doubt_until(now);
+        return replicas_.reads_through(now) ? own
+                                            : std::max(own, peer_doubt_until_);
+    }
+
+    /// Applies what a peer that reads the log says of missing entries.
+    auto apply_doubt(peer_report const& report, time_point now) -> void
+    {
+        if (report.lapse_grace <= duration{0})
+        {
+            return;
+        }
+        auto const until = now + std::min(report.lapse_grace, lapse_grace);
+        peer_doubt_until_ = std::max(peer_doubt_until_, until);
+        if (!replicas_.reads_through(now))
+        {
+            lapsed_.prolong(until);
         }
-        auto const recovered_at = replicas_.recovered_at();
-        auto const left = recovered_at + lapse_grace - now;
-        return recovered_at == time_point{} ? duration{0}
-                                            : std::max(duration{0}, left);
     }
 
     /// Puts the configuration in force into a copy for a peer, where the copy
@@ -514,36 +539,43 @@
         });
     }
 
-    /// Keeps replicas that disappeared without draining during a log outage or
-    /// shortly after it: their entries may have expired only because they could
-    /// not be renewed. A replica is not kept if a peer that still read the log
-    /// reports it as leaving or removed.
+    /// Keeps replicas that disappeared without draining beside an outage of the
+    /// log: their entries may have expired only because they could not be
+    /// renewed. A replica is not kept if a peer that still read the log reports
+    /// it as leaving or removed, or if another one has its address.
     auto retain_lapsed(std::vector<replica>& listed, time_point now) -> void
     {
-        auto const reads_log = is_primary_log_reader_ && !replicas_.is_lost();
-        auto const is_recovering = lapse_grace_left(now) > duration{0} ||
-                                   (!reads_log && now < peer_grace_until_);
-        if (!is_recovering)
-        {
-            return;
-        }
         auto present = std::set<endpoint_id>{};
+        auto addresses = std::set<std::string>{};
         for (auto const& each : listed)
         {
             present.insert(each.id);
+            addresses.insert(host_and_port(each));
         }
+        auto const until = doubt_until(now);
+        auto retained = std::set<endpoint_id>{};
         for (auto const& [id, each] : state_.replicas.replicas())
         {
-            auto const is_known_gone = leaving_.covers(
-                id, record_of(
-                        each, replicas_.cache().position_of(id.str()).value_or(
-                                  log_position{})));
-            if (!present.contains(id) && !each.leaving && !is_known_gone)
+            auto const is_used = !present.contains(id) && !each.leaving &&
+                                 !is_known_gone(each) &&
+                                 !addresses.contains(host_and_port(each)) &&
+                                 lapsed_.keeps(id, until, now);
+            if (is_used)
             {
                 listed.push_back(each);
-                recheck_lapsed_at_ = now + lapse_grace;
+                retained.insert(id);
             }
         }
+        lapsed_.retain(retained);
+    }
+
+    /// Whether a replica is known to leave or to be gone although no record
+    /// says so.
+    [[nodiscard]] auto is_known_gone(replica const& which) const -> bool
+    {
+        auto const position = replicas_.cache().position_of(which.id.str());
+        return leaving_.covers(
+            which.id, record_of(which, position.value_or(log_position{})));
     }
 
     auto replica_leaves(replica const& which, time_point now) -> void
@@ -717,12 +749,12 @@
     log_follower<Log> configuration_;
     log_follower<Log> replicas_;
     leaving_replica_set leaving_;
+    lapsed_replicas lapsed_;
     std::map<std::string, entry> entries_;
     time_point started_at_{};
     time_point next_fetch_at_{};
-    time_point recheck_lapsed_at_{};
-    /// When the last grace period that a peer reported ends.
-    time_point peer_grace_until_{};
+    /// Until when entries may be missing by the peers' reports.
+    time_point peer_doubt_until_{};
     /// Streams whose copy is being fetched from a peer.
     std::set<keyed_stream> fetching_;
     /// The record of the configuration in force.
--- a/packages/relay/include/sapphirereel/relay/exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/exchange.hpp
@@ -307,6 +307,9 @@
     refused_request const& request,
     relay_state& state) -> void;
 
+/// IP:PORT of a replica.
+auto host_and_port(replica const& at) -> std::string;
+
 /// The address of a replica; none if its record holds no valid address.
 auto address_of(replica const& target)
     -> std::optional<asio::ip::tcp::endpoint>;
--- a/packages/relay/include/sapphirereel/relay/log_follower.hpp
+++ b/packages/relay/include/sapphirereel/relay/log_follower.hpp
@@ -15,6 +15,7 @@
 #include <concepts>
 #include <functional>
 #include <limits>
+#include <optional>
 #include <random>
 #include <string>
 #include <tl/expected.hpp>
@@ -191,10 +192,20 @@
         return cache_;
     }
 
-    /// When the log last answered again after it was lost or restored.
-    [[nodiscard]] auto recovered_at() const -> time_point
+    /// Moment by which the log was back after it was lost or restored: when
+    /// the first call was sent that it answered. The answer of a long poll may
+    /// come much later.
+    [[nodiscard]] auto returned_by() const -> std::optional<time_point>
     {
-        return recovered_at_;
+        return returned_by_;
+    }
+
+    /// Whether this daemon reads the log without a gap in which an outage could
+    /// have gone unnoticed.
+    [[nodiscard]] auto reads_through(time_point now) const -> bool
+    {
+        return is_log_reachable() && read_gap_ <= max_read_gap &&
+               last_answer_at_ && now - *last_answer_at_ <= max_read_gap;
     }
 
     /// Whether several calls in a row have failed.
@@ -216,11 +227,15 @@
         duration{std::chrono::milliseconds{150}};
     static constexpr auto max_retry_delay =
         duration{std::chrono::milliseconds{800}};
+    /// Longest time without a call in which entries cannot have expired unseen:
+    /// that takes several intervals of their renewal.
+    static constexpr auto max_read_gap = duration{std::chrono::seconds{2}};
     /// Failures in a row after which the log is considered lost.
     static constexpr auto failures_until_lost = 2U;
 
     auto read_snapshot() -> void
     {
+        asked_at_ = telemetry::monotonic_now();
         log_.newest(
             stream_, [this](tl::expected<keyed_page, log_read_error> page) {
                 apply([&] { apply_newest(page); });
@@ -263,7 +278,7 @@
         has_copy_ = true;
         if (is_restored)
         {
-            recovered_at_ = telemetry::monotonic_now();
+            returned_by_ = telemetry::monotonic_now();
             callbacks_.restored(before, page.next);
         }
         if (cache_.apply_snapshot(page.records, page.next))
@@ -274,6 +289,7 @@
 
     auto read_next() -> void
     {
+        asked_at_ = telemetry::monotonic_now();
         log_.read(
             stream_, cache_.next(), settings_.wait,
             [this](tl::expected<keyed_page, log_read_error> page) {
@@ -306,12 +322,16 @@
 
     auto record_success() -> void
     {
-        if (is_lost())
+        read_gap_ =
+            last_answer_at_ ? asked_at_ - *last_answer_at_ : duration::max();
+        last_answer_at_ = telemetry::monotonic_now();
+        auto const was_lost = is_lost();
+        failures_ = 0;
+        if (was_lost)
         {
-            recovered_at_ = telemetry::monotonic_now();
+            returned_by_ = asked_at_;
             callbacks_.loss_changed(false);
         }
-        failures_ = 0;
     }
 
     auto record_failure() -> void
@@ -358,7 +378,12 @@
     std::mt19937_64 random_;
     callbacks callbacks_;
     record_cache cache_;
-    time_point recovered_at_{};
+    /// When the call under way, or the last one, was sent.
+    time_point asked_at_{};
+    std::optional<time_point> last_answer_at_;
+    /// Time between the last two answered calls.
+    duration read_gap_ = duration::max();
+    std::optional<time_point> returned_by_;
     std::uint32_t failures_ = 0;
     bool has_copy_ = false;
     bool is_pausing_ = false;
--- a/packages/relay/include/sapphirereel/relay/run_migrator.hpp
+++ b/packages/relay/include/sapphirereel/relay/run_migrator.hpp
@@ -57,9 +57,6 @@
 /// that was found to leave; it accepts requests for `drain_limit`.
 auto may_return_to_source(duration since_notice, duration drain_limit) -> bool;
 
-/// IP:PORT of a replica.
-auto host_and_port(replica const& at) -> std::string;
-
 /// The destination of a migration and the memory that the run takes there.
 struct migration_destination
 {
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -530,6 +530,11 @@
     caller.respond(why.status, std::move(fields), name_of(why.reason));
 }
 
+auto host_and_port(replica const& at) -> std::string
+{
+    return fmt::format("{}:{}", at.ip, at.port);
+}
+
 auto address_of(replica const& target) -> std::optional<asio::ip::tcp::endpoint>
 {
     auto error = std::error_code{};
--- a/packages/relay/src/run_migrator.cpp
+++ b/packages/relay/src/run_migrator.cpp
@@ -21,9 +21,4 @@
     return since_notice + return_margin <= drain_limit;
 }
 
-auto host_and_port(replica const& at) -> std::string
-{
-    return fmt::format("{}:{}", at.ip, at.port);
-}
-
 } // namespace sapphirereel::relay
--- a/test/support/relay/relay_fixture.hpp
+++ b/test/support/relay/relay_fixture.hpp
@@ -9,6 +9,7 @@
 #include "sapphirereel/relay/relay_node.hpp"
 
 #include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -96,6 +97,9 @@
     /// Whether calls succeed.
     bool is_reachable = true;
 
+    /// Time from a call to its answer.
+    duration answer_delay{0};
+
 private:
     auto answer(keyed_page page, keyed_page_handler done) -> void
     {
@@ -104,10 +108,15 @@
         {
             result = tl::unexpected(log_read_error::unanswered);
         }
-        asio::post(
-            *loop_, [result = std::move(result), done = std::move(done)] {
+        auto const timer =
+            std::make_shared<asio::steady_timer>(*loop_, answer_delay);
+        timer->async_wait([timer, result = std::move(result),
+                           done = std::move(done)](std::error_code error) {
+            if (!error)
+            {
                 done(result);
-            });
+            }
+        });
     }
 
     asio::io_context* loop_;
@@ -338,6 +347,12 @@
         return {asio::ip::make_address(process_loopback_ip()), caller_port_};
     }
 
+    /// The port for other daemons.
+    [[nodiscard]] auto peer_port() const -> std::uint16_t
+    {
+        return peer_port_;
+    }
+
     auto node() -> auto&
     {
         return node_;
