A run whose stream was lost is stopped before it goes on elsewhere

Callers saw nothing of it: their streams went on.

Cause: the end of a connection was taken for the end of its run. Of the three callers of resume_from_backup two asked nobody (a lost stream; a stream that ended while the answer to an order was lost); so did the new run of a resumable stream.

No such run, or no process at the address: it goes on at once, one round trip later. Stopped: it goes on from the memory that the order left, so that nothing is read again. Two connections in a row not established, or no answer at all for 1.5 s: the replica is out of reach, the run goes on. Any other answer shows a replica that is there and does not tell: it is asked again with growing pauses; after 1.5 s the stream is ended as incomplete. 1.5 s lies under the two seconds of pause after which callers leave.

The class, by path: lost streams, ends beside an unanswered stop order, runs that were resumed and lost again, resumable streams that begin anew and answers that are about another request acted, and ask now. Runs that an order has stopped (evacuated destination, refused continuation) can't act. Safe plain requests may run twice and are repeated as before. A resumable stream that a peer served can't be asked for: the daemon has no path to the replica and doesn't know which it was; the route permits another run. Engines without moves know no order; they are as before (no deployment in force has backups without moves).

--- a/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
@@ -35,6 +35,11 @@
     streams_moved,
     stream_moves_failed,
     streams_lost,
+    /// Runs whose streams were lost and whose replicas were asked to stop them;
+    /// those that were still going on, and those that may be.
+    lost_runs_asked,
+    lost_runs_stopped,
+    lost_runs_unknown,
     streams_sent_again,
     streams_resumed,
     positions_received,
--- a/packages/relay/include/sapphirereel/relay/run_migrator.hpp
+++ b/packages/relay/include/sapphirereel/relay/run_migrator.hpp
@@ -5,8 +5,8 @@
 #ifndef SAPPHIREREEL_RELAY_RUN_MIGRATOR_HPP
 #define SAPPHIREREEL_RELAY_RUN_MIGRATOR_HPP
 
-#include "sapphirereel/relay/buffered_call.hpp"
 #include "sapphirereel/relay/exchange.hpp"
+#include "sapphirereel/relay/migration_call.hpp"
 #include "sapphirereel/relay/stream_load.hpp"
 
 #include <functional>
@@ -229,28 +229,16 @@
             {{"replica", source_.id},
              {"to", destination_.id},
              {"noticed", requested_at_ - noticed_at_}});
-        request_ = buffered_call::start(
-            state_.loop, state_.pool, *address_of(source_),
-            Format::write_migration_request(
-                {request_id_, host_and_port(destination_), stop}),
+        request_ = send_migration_request<Format>(
+            state_, source_, {request_id_, host_and_port(destination_), stop},
             migration_request_timeout,
-            [this, owner = owner_, stop](buffered_response const& answer) {
+            [this, owner = owner_, stop](migration_result const& result) {
                 auto const held = owner.lock();
                 if (held && is_active())
                 {
-                    handle_response(stop, answer);
+                    handle_result(stop, result);
                 }
-            },
-            own_connection());
-    }
-
-    /// The response bears no id, so that on a kept connection one to another
-    /// request could be taken for it.
-    static auto own_connection() -> call_options
-    {
-        auto options = call_options{};
-        options.has_own_connection = true;
-        return options;
+            });
     }
 
     /// Tries again until the replica's limit permits the request or the replica
@@ -268,34 +256,16 @@
         after(migration_retry_delay, [this, stop] { send_request(stop); });
     }
 
-    auto handle_response(bool stop, buffered_response const& answer) -> void
+    auto handle_result(bool stop, migration_result const& result) -> void
     {
         request_.reset();
-        auto const read = answer ? Format::read_migration_response(*answer)
-                                 : migration_response{};
-        if (answer)
-        {
-            record_replica_state(
-                state_, replica{source_}, Format::read_response(answer->head),
-                requested_at_, telemetry::monotonic_now());
-        }
-        if (read.outcome != migration_outcome::copied)
-        {
-            state_.log.request(
-                request_id_, "migration request failed",
-                {{"replica", source_.id},
-                 {"to", destination_.id},
-                 {"outcome", static_cast<int>(read.outcome)},
-                 {"stop", stop},
-                 {"why", answer ? std::string{} : answer.error().detail}});
-        }
         if (stop)
         {
-            handle_stop_response(read);
+            handle_stop_response(result.response);
         }
         else
         {
-            handle_copy_response(read);
+            handle_copy_response(result.response);
         }
     }
 
--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -417,13 +417,30 @@
         }
     }
 
+    auto run_undecided(std::string_view why) -> void override
+    {
+        abort_stream(why);
+    }
+
+    /// Where the request is sent again from; none if it may not be.
+    [[nodiscard]] auto position_to_send_again() const
+        -> tl::expected<std::optional<std::uint64_t>, resume_obstacle>
+    {
+        return next_position(
+            {may_resume(), exchange_.runs, exchange_.granted.max_attempts,
+             events_.has_begun(), events_.last_number()});
+    }
+
+    [[nodiscard]] auto may_be_sent_again() const -> bool override
+    {
+        return position_to_send_again().has_value();
+    }
+
     /// Sends the request again, to continue after the last event, where its
     /// route permits that; returns false if it does not.
     auto send_again(std::string_view why) -> bool
     {
-        auto const position = next_position(
-            {may_resume(), exchange_.runs, exchange_.granted.max_attempts,
-             events_.has_begun(), events_.last_number()});
+        auto const position = position_to_send_again();
         if (!position)
         {
             return false;
@@ -712,6 +729,12 @@
         {
             fallback_ = http::response{*head_, failure_body_};
         }
+        if (!is_replica_failure && may_be_sent_again())
+        {
+            // The request itself may still run.
+            resumption_.continue_lost_run("the answer is no stream");
+            return;
+        }
         if (!is_final && send_again("the answer is no stream"))
         {
             return;
@@ -807,10 +830,7 @@
             retry_not_run(now);
             return;
         }
-        if (!resumption_.resume_from_backup(now))
-        {
-            run_lost(why.detail);
-        }
+        resumption_.continue_lost_run(why.detail);
     }
 
     // Completion and failure.
--- a/packages/relay/include/sapphirereel/relay/stream_resumption.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_resumption.hpp
@@ -6,6 +6,7 @@
 
 #include "sapphirereel/relay/event_sequence.hpp"
 #include "sapphirereel/relay/exchange.hpp"
+#include "sapphirereel/relay/lost_run_stopper.hpp"
 #include "sapphirereel/relay/run_backup.hpp"
 #include "sapphirereel/relay/run_migrator.hpp"
 
@@ -45,9 +46,16 @@
     /// Completes the stream.
     virtual auto complete(time_point now) -> void = 0;
 
+    /// Whether the request may be sent again, as a new run.
+    [[nodiscard]] virtual auto may_be_sent_again() const -> bool = 0;
+
     /// Called when the run is lost and no copy of it can be resumed.
     virtual auto run_lost(std::string_view why) -> void = 0;
 
+    /// Called when the stream of the run is lost and its replica may still work
+    /// on it, so that it may not go on elsewhere.
+    virtual auto run_undecided(std::string_view why) -> void = 0;
+
 protected:
     resuming_stream() = default;
     resuming_stream(resuming_stream const&) = default;
@@ -64,6 +72,7 @@
         , stream_(stream)
         , backup_(of.state.replicas)
         , migrator_(of.state, of.request.id, migrator_callbacks())
+        , stopper_(of.state, of.request.id)
         , permit_timer_(of.state.loop)
     {}
 
@@ -103,7 +112,7 @@
     auto replica_leaves(time_point now, double tokens_ahead) -> double
     {
         if (exchange_.finished || is_resuming_ || migrator_.is_active() ||
-            stopped_)
+            stopper_.is_active() || stopped_)
         {
             drained_while_resuming_ = is_resuming_;
             return 0;
@@ -196,33 +205,25 @@
         resume_at(run.next, memory);
     }
 
-    /// Resumes a run whose replica is lost from its backup; returns false if
-    /// that is not possible.
-    auto resume_from_backup(time_point now) -> bool
+    /// Lets a run whose stream was lost go on elsewhere: from its backup, or as
+    /// a new run after the last event. Before that its replica is ordered to
+    /// stop it, as the end of a connection need not end a run.
+    auto continue_lost_run(std::string const& why) -> void
     {
-        auto const* const held = backup_.listed_holder();
-        auto const to = held ? address_of(*held) : std::nullopt;
-        auto const& events = stream_.events();
-        if (!to || !events.has_begun() || !events.last_number())
+        auto const destination = destination_of_lost_run();
+        if (!destination)
         {
-            return false;
+            resume_lost_run(why);
+            return;
         }
-        auto const next = replica{*held};
-        exchange_.state.log.request(
-            exchange_.request.id, "resumes from its backup",
-            {{"replica", stream_.source().id},
-             {"copy_at", next.id},
-             {"events", events.count()},
-             {"silent", time_since_last_event(now)}});
-        exchange_.excluded.insert(stream_.source().id);
         migrator_.cancel();
         stopped_.reset();
-        kept_at_source_.reset();
-        is_resuming_ = true;
-        resume_at(
-            next,
-            fmt::format("{}/{}", host_and_port(next), exchange_.request.id));
-        return true;
+        stopper_.start(
+            owner_, stream_.source(), *destination, telemetry::monotonic_now(),
+            [this,
+             why](lost_run_end what, std::optional<stopped_run> const& run) {
+                lost_run_ended(what, run, why);
+            });
     }
 
     /// Resumes a run that its destination has not taken at the source that
@@ -262,6 +263,7 @@
     {
         permit_timer_.cancel();
         migrator_.cancel();
+        stopper_.cancel();
         backup_.release();
     }
 
@@ -276,6 +278,98 @@
         time_point noticed_at;
     };
 
+    /// Whether the run can go on from a copy after the last event that the
+    /// caller has.
+    [[nodiscard]] auto has_position() const -> bool
+    {
+        return stream_.events().has_begun() &&
+               stream_.events().last_number().has_value();
+    }
+
+    /// Where a run whose stream was lost may go on; none if it can't, or if its
+    /// replica takes no order that stops it.
+    auto destination_of_lost_run() -> std::optional<replica>
+    {
+        auto const traits = exchange_.engine();
+        if (!traits || !traits->supports_migration)
+        {
+            return std::nullopt;
+        }
+        auto const* const held = backup_.listed_holder();
+        if (held != nullptr && has_position())
+        {
+            return *held;
+        }
+        if (!stream_.may_be_sent_again())
+        {
+            return std::nullopt;
+        }
+        auto const chosen = choose_destination();
+        return chosen ? std::optional{chosen->target} : std::nullopt;
+    }
+
+    auto lost_run_ended(
+        lost_run_end what,
+        std::optional<stopped_run> const& run,
+        std::string const& why) -> void
+    {
+        if (what == lost_run_end::unknown)
+        {
+            stream_.run_undecided(why);
+            return;
+        }
+        if (!run)
+        {
+            resume_lost_run(why);
+            return;
+        }
+        if (!has_position())
+        {
+            stream_.run_lost(why);
+            return;
+        }
+        stopped_ = run;
+        source_ended_ = true;
+        resume_if_stopped();
+    }
+
+    /// Resumes a run that has ended at its replica.
+    auto resume_lost_run(std::string_view why) -> void
+    {
+        if (!resume_from_backup(telemetry::monotonic_now()))
+        {
+            stream_.run_lost(why);
+        }
+    }
+
+    /// Resumes a run that its replica has lost or stopped from its backup;
+    /// returns false if that is not possible.
+    auto resume_from_backup(time_point now) -> bool
+    {
+        auto const* const held = backup_.listed_holder();
+        auto const to = held ? address_of(*held) : std::nullopt;
+        if (!to || !has_position())
+        {
+            return false;
+        }
+        auto const next = replica{*held};
+        exchange_.state.log.request(
+            exchange_.request.id, "resumes from its backup",
+            {{"replica", stream_.source().id},
+             {"copy_at", next.id},
+             {"events", stream_.events().count()},
+             {"silent", time_since_last_event(now)}});
+        exchange_.excluded.insert(stream_.source().id);
+        migrator_.cancel();
+        stopped_.reset();
+        kept_at_source_.reset();
+        is_resuming_ = true;
+        resume_at(
+            next,
+            fmt::format("{}/{}", host_and_port(next), exchange_.request.id));
+        return true;
+    }
+
     [[nodiscard]] auto time_since_last_event(time_point now) const -> duration
     {
         return now - exchange_.started_at - stream_.events().time_to_last();
@@ -318,10 +412,7 @@
         {
             return false;
         }
-        if (!resume_from_backup(telemetry::monotonic_now()))
-        {
-            stream_.run_lost("the run may have been stopped");
-        }
+        continue_lost_run("the run may have been stopped");
         return true;
     }
 
@@ -332,16 +423,18 @@
             may_be_stopped_ = how == migration_failure::while_stopping;
             return;
         }
-        auto const now = telemetry::monotonic_now();
-        if (how == migration_failure::run_ended && ended_between_events_)
+        constexpr auto why = "the run was not stopped in good order";
+        if (how != migration_failure::run_ended)
         {
-            stream_.complete(now);
+            continue_lost_run(why);
             return;
         }
-        if (!resume_from_backup(now))
+        if (ended_between_events_)
         {
-            stream_.run_lost("the run was not stopped in good order");
+            stream_.complete(telemetry::monotonic_now());
+            return;
         }
+        resume_lost_run(why);
     }
 
     /// Whether a stopped run may resume at its source.
@@ -413,6 +506,7 @@
     resuming_stream& stream_;
     run_backup backup_;
     run_migrator<Format> migrator_;
+    lost_run_stopper<Format> stopper_;
     asio::steady_timer permit_timer_;
     std::weak_ptr<void> owner_;
     /// Set while the last events of a stopped run are awaited.
--- a/packages/relay/include/sapphirereel/relay/upstream_call.hpp
+++ b/packages/relay/include/sapphirereel/relay/upstream_call.hpp
@@ -40,6 +40,8 @@
     /// response that is not accepted or only a part of its head, or closed the
     /// connection in order.
     bool shows_path = false;
+    /// Whether the connection was refused: no process listens at the address.
+    bool is_refused = false;
     auto operator<=>(call_failure const&) const = default;
 };
 
--- a/packages/relay/src/upstream_call.cpp
+++ b/packages/relay/src/upstream_call.cpp
@@ -351,7 +351,9 @@
             }
             if (error)
             {
-                call->fail({call_stage::connecting, error.message()});
+                call->fail(
+                    {call_stage::connecting, error.message(), false, false,
+                     error == asio::error::connection_refused});
                 return;
             }
             call->begin(std::move(made));
--- a/test/correctness/relay/streams_resume_after_replica_loss.cpp
+++ b/test/correctness/relay/streams_resume_after_replica_loss.cpp
@@ -32,6 +32,10 @@
         return [this](
                    std::shared_ptr<caller_session> const& from,
                    http::request const& request) {
+            if (answer_order_without_run(*from, request))
+            {
+                return;
+            }
             from->begin_stream(200, "OK", signed_fields(request));
             if (auto const memory = http::find(request.fields, "Kv-From"))
             {
--- a/test/support/relay/cutting_replica.hpp
+++ b/test/support/relay/cutting_replica.hpp
@@ -113,6 +113,12 @@
 
     auto serve(connection& to, std::string const& request) -> void
     {
+        if (request.starts_with("POST /-/kv-move "))
+        {
+            // The run has ended with its connection.
+            to.send(http::write_response(404, {}, {}));
+            return;
+        }
         ++arrivals;
         auto const id = field_of(request, "X-Sapphirereel-Request-Id: ");
         auto const response = whole_response(id, framing_);
--- a/test/support/relay/relay_fixture.hpp
+++ b/test/support/relay/relay_fixture.hpp
@@ -177,11 +177,31 @@
     std::uint16_t port;
     std::vector<http::request> requests;
 
+    /// Takes no more connections, as an address without a process.
+    auto close() -> void
+    {
+        listener_->close();
+    }
+
 private:
     handler serve_;
     std::unique_ptr<listener> listener_;
 };
 
+/// Answers an order to move a run as a replica does that has no such run, as
+/// most have none once its connection has ended. Returns false if the request
+/// is no such order.
+inline auto answer_order_without_run(
+    caller_session& from, http::request const& request) -> bool
+{
+    if (request.target != "/-/kv-move")
+    {
+        return false;
+    }
+    from.respond(404, {}, {});
+    return true;
+}
+
 /// Header fields of a replica's response to a request that it executed.
 inline auto signed_fields(http::request const& request) -> http::field_list
 {
--- a/test/support/relay/scripted_engine.hpp
+++ b/test/support/relay/scripted_engine.hpp
@@ -72,6 +72,10 @@
                 loop, [this, at](
                           std::shared_ptr<caller_session> const& from,
                           http::request const& request) {
+                    if (answer_order_without_run(*from, request))
+                    {
+                        return;
+                    }
                     served_by.push_back(at);
                     serve(*from, request);
                 });
