Soak: model replicas, wrong lengths, removal after an outage, small shares of processor

Replicas state wrong lengths and chunk sizes. The store falls silent and a replica's entry is removed as soon as the store is stable again. A crashed replica's address refuses connections, as it does without a proxy.

Checked anew: no replica works on for over 400 ms on what went on elsewhere; no request reaches a replica later than its 2 s after a removal in calm (0.1 s for the stand-ins). promises_test shows that each check finds its fault.

--- a/test/correctness/soak/promises_test.py
+++ b/test/correctness/soak/promises_test.py
@@ -13,6 +13,8 @@
 from callers import Outcome  # noqa: E402
 from daemons import Build, Daemon  # noqa: E402
 from replicas import Replica, Run  # noqa: E402
+from spans import Spans  # noqa: E402
+from store import Store  # noqa: E402
 
 
 def outcome(kind="unsafe", status=200, whole=True, body=b"answer", signature="i.r"):
@@ -35,6 +37,66 @@
         self.assertFalse(found(promises.runs_too_often, safe, [run(), run()]))
         self.assertTrue(found(promises.runs_too_often, safe, [run()] * 3))
 
+    def test_what_goes_on_from_memory_is_one_run(self):
+        stream = outcome(kind="stream", body=promises.whole_stream("r"))
+        continued = run()
+        continued.is_continued = True
+        self.assertFalse(found(promises.runs_too_often, stream, [run(), continued]))
+        self.assertTrue(found(promises.runs_too_often, stream, [run(), run()]))
+
+    def test_no_replica_works_on_what_went_on_elsewhere(self):
+        def worked_on(ended, disturb=None, replica_id="other"):
+            daemon = Daemon(Build("new", ""), "", "127.0.0.1", "z", [])
+            replica = Replica("engine", "z", {})
+            if disturb:
+                disturb(daemon, replica)
+            earlier = Run(replica.id, 100.0, "c", "", ended=ended)
+            later = Run(replica_id or replica.id, 101.0, "c", "")
+            got = Outcome("r", "stream", "key", daemon.callers, 99.9)
+            ledger = {"r": [later, earlier]}
+            return list(
+                promises.worked_on_twice([got], ledger, [daemon], [replica])
+            )
+
+        self.assertFalse(worked_on(101.4))
+        self.assertTrue(worked_on(101.5))
+        self.assertFalse(worked_on(101.5, replica_id=""))
+        # A daemon or a replica that was cut off can't ask, or be asked.
+        self.assertFalse(
+            worked_on(102.0, lambda daemon, _: daemon.outages.note(True, 100.5))
+        )
+        link = "disturbances"
+        self.assertFalse(
+            worked_on(
+                102.0, lambda _, replica: getattr(replica.proxy, link).note(True, 101.2)
+            )
+        )
+        # Answers that are spoiled don't keep it from being asked.
+        self.assertTrue(
+            worked_on(102.0, lambda _, replica: replica._disturbances.note(True, 100.5))
+        )
+
+    def test_removed_replicas_are_left_alone(self):
+        def late(at, disturb=None):
+            daemon = Daemon(Build("new", ""), "", "127.0.0.1", "z", [])
+            replica, store, lags = Replica("plain", "z", {}), Store(), Spans()
+            replica.removed_at = 100.0
+            replica.after_removal = [("r", at)]
+            if disturb:
+                disturb(daemon, store, lags)
+            got = Outcome("r", "unsafe", "key", daemon.callers, at - 0.1)
+            return list(
+                promises.late_after_removal([got], [daemon], [replica], store, lags)
+            )
+
+        self.assertFalse(late(102.05))
+        self.assertTrue(late(102.2))
+        # Not where the store was not stable, the daemon disturbed, or the loop late.
+        self.assertFalse(late(102.2, lambda _, store, __: store.outages.append((96, 98))))
+        self.assertTrue(late(102.2, lambda _, store, __: store.outages.append((93, 96))))
+        self.assertFalse(late(102.2, lambda daemon, *_: daemon._touches.append(100.0)))
+        self.assertFalse(late(102.2, lambda _, __, lags: lags.note(True, 102.0)))
+
     def test_refusals_are_true(self):
         refused = outcome(status=503, signature="")
         self.assertFalse(found(promises.refused_and_run, refused, []))
--- a/tools/soak.d/callers.py
+++ b/tools/soak.d/callers.py
@@ -12,6 +12,7 @@
 ADDRESS_LIFE_S = 2.0
 PATIENCE_S = 6.0
 MOST_RECONNECTS = 3
+LONGEST_RETURN_S = 1.0
 # One caller in so many opens a connection for each request.
 NEW_CONNECTION_CALLERS = 4
 
@@ -39,6 +40,8 @@
     ended_at: float = 0.0
     # The name of the build of the daemon that was asked.
     build: str = ""
+    # When the answer asks to come back, in seconds; none if it doesn't.
+    retry_after_s: float | None = None
 
     @property
     def position(self):
@@ -51,7 +54,7 @@
         "Host": "h", "X-Sapphirereel-Request-Id": request_id,
         "X-Sapphirereel-Credential": key,
         "X-Sapphirereel-Deadline-Ms": int(PATIENCE_S * 1_000),
-        "X-Sapphirereel-Tenant": "forged", "X-Sapphirereel-Token-Count": "200,30",
+        "X-Sapphirereel-Tenant": "forged", "X-Sapphirereel-Token-Count": "200,120",
     }
     if after:
         fields["Last-Event-Id"] = after
@@ -87,6 +90,7 @@
         return
     got.status = http11.status_of(head)
     got.signature = head.fields.get("x-sapphirereel-response-signature", "")
+    got.retry_after_s = http11.retry_after_s(head)
     got.answered_id = head.fields.get("x-sapphirereel-request-id", "")
     async for part in connection.body_parts(head):
         got.body += part
@@ -135,15 +139,20 @@
         self._drop_connection()
 
     async def _send(self, kind, request_id):
-        """One request; a stream that may resume is continued after a cut."""
+        """One request; a stream that may resume is continued after a cut, and what
+        was refused with a time to come back is sent once more."""
         key = self._random.choice(self._keys)
-        after = 0
+        after, has_returned = 0, False
         for attempt in range(1 + MOST_RECONNECTS):
             got = await ask(
                 self._next_connection(), kind, key, f"{request_id}-{attempt}",
                 after=after,
             )
             self.outcomes.append(got)
+            if got.retry_after_s is not None and not has_returned:
+                has_returned = True
+                await asyncio.sleep(min(got.retry_after_s, LONGEST_RETURN_S))
+                continue
             if kind != "resume" or got.whole or got.status not in (0, 200):
                 return
             after = got.position
--- a/tools/soak.d/configuration.py
+++ b/tools/soak.d/configuration.py
@@ -1,5 +1,6 @@
 """The configuration of the soak's deployment."""
 
+from model_replicas import MEMORY_TOKENS, TOKENS_OF_EVENT
 from replicas import COLD_PER_S, COLD_S
 
 REQUEST_TIMEOUT_MS = 5_000
@@ -18,6 +19,11 @@
     """A version, with a route that only it has; customers by key."""
     cold = {"warmup-s": COLD_S, "cold-per-s": COLD_PER_S}
     resumable = {"stream-resume": True, "max-attempts": 3}
+    engine = {
+        "kv-cache-tokens": MEMORY_TOKENS, "kv-token-bytes": 18_432,
+        "link-mbps": 2_700.0, "stride": TOKENS_OF_EVENT, "moves": True,
+        "backups": True,
+    }
     return {
         "version": version,
         "routes": [
@@ -29,7 +35,7 @@
         ],
         "services": [
             {"name": "plain", **cold},
-            {"name": "engine", "engine": {"kv-cache-tokens": 100_000}, **cold},
+            {"name": "engine", "engine": engine, **cold},
         ],
         "tenants": [
             {"name": name, "api-keys": [key]} for key, name in customers.items()
--- a/tools/soak.d/daemon_faults.py
+++ b/tools/soak.d/daemon_faults.py
@@ -23,6 +23,7 @@
         return {
             "kill": self.kill,
             "pause": self.pause,
+            "starve": self.starve,
             "stop": self.stop,
             "hang up": self.hang_up,
             "cut store": self.cut_store,
@@ -54,6 +55,15 @@
         await asyncio.sleep(self._random.uniform(0.3, 3))
         daemon.send(signal.SIGCONT)
 
+    async def starve(self, daemon):
+        """Gives the process an eighth of each tenth of a second, as a quota does."""
+        until = time.monotonic() + self._random.uniform(0.5, 3)
+        while time.monotonic() < until:
+            daemon.send(signal.SIGSTOP)
+            await asyncio.sleep(0.088)
+            daemon.send(signal.SIGCONT)
+            await asyncio.sleep(0.012)
+
     async def stop(self, daemon):
         await self.end(daemon)
         daemon.start()
--- a/tools/soak.d/daemons.py
+++ b/tools/soak.d/daemons.py
@@ -32,6 +32,8 @@
         self.disturbed_at = time.monotonic()
         # Times at which its process was killed or paused.
         self.outages = Spans()
+        # Moments at which it was signalled, started or cut off.
+        self._touches = []
         # Whether its end was asked for.
         self.may_end = False
         # What the next start runs.
@@ -79,7 +81,7 @@
             )
         self.outages.note(False)
         self.may_end = False
-        self.disturbed_at = time.monotonic()
+        self.touch()
         self._starts.append((self.disturbed_at, self.build.name))
 
     def build_at(self, moment):
@@ -92,7 +94,7 @@
 
     def send(self, number):
         """Signals this process, and no other."""
-        self.disturbed_at = time.monotonic()
+        self.touch()
         if number in (signal.SIGKILL, signal.SIGSTOP):
             self.outages.note(True)
         if number == signal.SIGCONT:
@@ -107,6 +109,15 @@
 
     def touch(self):
         self.disturbed_at = time.monotonic()
+        self._touches.append(self.disturbed_at)
+
+    def was_calm(self, since, until):
+        """Whether nothing disturbed its process or its link to the store then."""
+        return not (
+            any(since <= at <= until for at in self._touches)
+            or self.outages.touch(since, until)
+            or self.proxy.disturbances.touch(since, until)
+        )
 
     def is_calm(self, for_s):
         return (
--- a/tools/soak.d/faulty_answers.py
+++ b/tools/soak.d/faulty_answers.py
@@ -6,7 +6,8 @@
 
 # Modes in which a replica answers some of its requests wrongly.
 REPEAT, UNMARKED, CUT_HEAD, LATE_EXTRA = "repeat", "unmarked", "cut head", "late extra"
-MODES = (REPEAT, UNMARKED, CUT_HEAD, LATE_EXTRA)
+WRONG_LENGTH = "wrong length"
+MODES = (REPEAT, UNMARKED, CUT_HEAD, LATE_EXTRA, WRONG_LENGTH)
 SHARE = 0.3
 LONGEST_REPEAT_DELAY_S = 0.03
 REFUSAL_STATUSES = (503, 429, 408)
@@ -53,3 +54,15 @@
 def cut_head(random, answer):
     """The beginning of an answer, up to somewhere within its head."""
     return answer[: random.randrange(1, answer.index(b"\r\n\r\n") + 4)]
+
+
+def wrong_length(random, answer):
+    """The answer with a length that it doesn't have; most often a huge one."""
+    digits = str(random.choice([10**16, 10**9, 2**63 - 1, 2**64 - 2]))
+    begin = answer.index(b"Content-Length: ") + len(b"Content-Length: ")
+    return answer[:begin] + digits.encode() + answer[answer.index(b"\r\n", begin):]
+
+
+def wrong_chunk(part):
+    """A chunk that states a size which it doesn't have."""
+    return b"ffffffffffffff\r\n" + part
--- a/tools/soak.d/http11.py
+++ b/tools/soak.d/http11.py
@@ -82,6 +82,14 @@
     return None
 
 
+def retry_after_s(head):
+    """After what time an answer asks to come back; none if it doesn't."""
+    try:
+        return float(head.fields.get("retry-after", ""))
+    except ValueError:
+        return None
+
+
 def request(method, target, fields, body=b""):
     lines = [f"{method} {target} HTTP/1.1"]
     lines += [f"{name}: {value}" for name, value in fields.items()]
--- a/tools/soak.d/promises.py
+++ b/tools/soak.d/promises.py
@@ -15,6 +15,15 @@
 MOST_PER_COLD_SECOND = int(serving.COLD_PER_S * 1.5 + 5)
 LEAST_SHARE_SERVED_AT_REST = 0.95
 
+# For how long a replica that leaves goes on to serve, and how late a stand-in may
+# read what has arrived.
+DRAIN_S = 2.0
+DRAIN_SLACK_S = 0.1
+# Time without a disturbance after which the store, and a daemon, count as stable.
+STABLE_S = 3.0
+# For how long an earlier replica may still work on what goes on elsewhere.
+OVERLAP_BOUND_S = 0.4
+
 MOST_LOST = 3
 # Time in which a fault may still show.
 DISTURBANCE_AFTERMATH_S = 1.0
@@ -72,7 +81,8 @@
 def runs_too_often(outcomes, ledger):
     for got in outcomes:
         most = MOST_RUNS.get(got.kind, 1)
-        runs = ledger.get(got.id, [])
+        # What goes on from the memory of a run is the same run.
+        runs = [run for run in ledger.get(got.id, []) if not run.is_continued]
         if len(runs) > most:
             where = ", ".join(run.replica for run in runs)
             yield broken(got, f"ran {len(runs)} times: {where}")
@@ -149,6 +159,51 @@
             yield broken(got, f"was cut off with {got.status} on a kept connection")
 
 
+def worked_on_twice(outcomes, ledger, daemons, replicas):
+    """Streams that went on elsewhere while a replica that could be asked worked on."""
+    daemon_at = {each.callers: each for each in daemons}
+    replica_of = {each.id: each for each in replicas}
+    for got in outcomes:
+        runs = sorted(ledger.get(got.id, []), key=lambda run: run.at)
+        for earlier, later in zip(runs, runs[1:]):
+            if earlier.ended is None or earlier.replica == later.replica:
+                continue
+            since, until = later.at - STABLE_S, later.at + OVERLAP_BOUND_S
+            if (
+                earlier.ended > until
+                and daemon_at[got.daemon].was_calm(since, until)
+                and replica_of[earlier.replica].is_reached(since, until)
+            ):
+                still_ms = (earlier.ended - later.at) * 1e3
+                yield broken(
+                    got, f"went on at {later.replica}, {earlier.replica} still "
+                    f"worked on it {still_ms:.0f} ms later"
+                )
+
+
+def late_after_removal(outcomes, daemons, replicas, store, lags):
+    """Requests to a replica whose entry was removed while the store was stable."""
+    daemon_of = {got.id: got for got in outcomes}
+    daemon_at = {each.callers: each for each in daemons}
+    for replica in replicas:
+        for request_id, at in replica.after_removal:
+            got = daemon_of.get(request_id)
+            since = at - STABLE_S
+            if (
+                at - replica.removed_at > DRAIN_S + DRAIN_SLACK_S
+                and got is not None
+                and daemon_at[got.daemon].was_calm(since, at)
+                and store.was_calm(replica.removed_at - STABLE_S, at)
+                and replica.is_reached(replica.removed_at, at)
+                and not lags.touch(at - 1, at)
+            ):
+                late_ms = (at - replica.removed_at) * 1e3
+                yield broken(
+                    got, f"reached {replica.id} {late_ms:.0f} ms after the removal "
+                    "of its entry"
+                )
+
+
 def wrong_customers(outcomes, ledger, customers):
     for got in outcomes:
         for run in ledger.get(got.id, []):
--- a/tools/soak.d/proxy.py
+++ b/tools/soak.d/proxy.py
@@ -10,6 +10,7 @@
         self.disturbances = Spans()
         self._mode = "open"
         self.address = None
+        self._server = None
         self._target = None
         self._links = set()
 
@@ -24,10 +25,15 @@
         self.disturbances.note(mode != "open")
 
     async def open(self, ip, target):
-        server = await asyncio.start_server(self._serve, ip, 0)
-        self.address = f"{ip}:{server.sockets[0].getsockname()[1]}"
+        self._server = await asyncio.start_server(self._serve, ip, 0)
+        self.address = f"{ip}:{self._server.sockets[0].getsockname()[1]}"
         self._target = target
 
+    def close(self):
+        """Takes no more connections, as an address without a process."""
+        self._server.close()
+        self.reset()
+
     def reset(self):
         """Resets every connection that stands."""
         for writer in list(self._links):
--- a/tools/soak.d/replicas.py
+++ b/tools/soak.d/replicas.py
@@ -21,6 +21,8 @@
 COLD_S = 4.0
 # Time in which a daemon reports to its peers that a response stated a cold replica.
 COLD_KNOWN_S = 0.5
+# Modes in which a replica may not answer what it is asked.
+MUTE_MODES = ("hang", "reset", "error", "gone")
 CUT_SHARE = 0.1
 IGNORED_POSITIONS_SHARE = 0.25
 _numbers = itertools.count(1)
@@ -36,6 +38,12 @@
     credential: str
     status: int = 0
     body: bytes = b""
+    # Whether it goes on from the memory of an earlier run.
+    is_continued: bool = False
+    # When the replica stopped to work on it; none where it answered at once.
+    ended: float | None = None
+    # The request as it came.
+    asked: object = None
 
 
 class Replica:
@@ -47,11 +55,16 @@
         self.ledger = ledger
         self.proxy = Proxy()
         self._disturbances = Spans()
+        self._mute = Spans()
         self._mode = "well"
         # When the store acknowledged that it leaves.
         self.left_at = None
         # Moments after that, at which a request still came.
         self.late_arrivals = []
+        # When the removal of its entry was acknowledged, and the ids and moments of
+        # the requests that came after that.
+        self.removed_at = None
+        self.after_removal = []
         # Whether nothing has disturbed the daemons and the store of late.
         self.all_calm = lambda: True
         # Moments at which a request came.
@@ -82,6 +95,7 @@
             return
         self._mode = mode
         self._disturbances.note(mode != "well")
+        self._mute.note(mode in MUTE_MODES)
 
     def is_sound(self, since, until):
         """Whether nothing disturbed it or its link in all that time."""
@@ -90,6 +104,13 @@
             or self.proxy.disturbances.touch(since, until)
         )
 
+    def is_reached(self, since, until):
+        """Whether it could be asked, and answered, in all that time."""
+        return not (
+            self._mute.touch(since, until)
+            or self.proxy.disturbances.touch(since, until)
+        )
+
     async def open(self, ip, store):
         self._server = await asyncio.start_server(self._serve, ip, 0)
         port = self._server.sockets[0].getsockname()[1]
@@ -138,7 +159,7 @@
         self._server.close()
         for writer in list(self._open):
             writer.transport.abort()
-        self.proxy.reset()
+        self.proxy.close()
 
     async def _serve(self, reader, writer):
         self._open.add(writer)
@@ -166,12 +187,15 @@
             writer.write(faulty_answers.refusal(request_id, who, 421))
             return
         self.arrivals.append(time.monotonic())
+        if self.removed_at is not None:
+            self.after_removal.append((request_id, time.monotonic()))
         if self.left_at is not None and self.all_calm():
             self.late_arrivals.append(time.monotonic())
         if self.mode == "reset":
             writer.transport.abort()
             return
-        if not earlier.refused_id and self._is_hit(faulty_answers.REPEAT):
+        is_refused = not earlier.refused_id and self._is_hit(faulty_answers.REPEAT)
+        if self._refuses(asked) or is_refused:
             earlier.refused_id = request_id
             writer.write(faulty_answers.refusal(request_id, self._state_fields()))
             return
@@ -179,6 +203,7 @@
             self.id, time.monotonic(),
             asked.fields.get("x-sapphirereel-tenant", ""),
             asked.fields.get("x-sapphirereel-credential", ""),
+            is_continued=self._is_continuation(asked), asked=asked,
         )
         self.ledger.setdefault(request_id, []).append(run)
         if self.mode == "hang":
@@ -190,6 +215,14 @@
         } | self._state_fields(is_spoiled)
         await self._answer(asked, run, request_id, fields, writer, earlier)
 
+    def _refuses(self, asked):
+        """Whether it has no room for a request."""
+        return False
+
+    def _is_continuation(self, asked):
+        """Whether a request goes on from the memory of an earlier run."""
+        return False
+
     async def _write_earlier(self, writer, earlier):
         """Writes an answer to an earlier request once more; whether it did."""
         if earlier.refused_id and self.mode == faulty_answers.REPEAT:
@@ -227,6 +260,9 @@
         if self._is_hit(faulty_answers.CUT_HEAD):
             self._cut_head(bytes_out, writer)
             return
+        if self._is_hit(faulty_answers.WRONG_LENGTH):
+            writer.write(faulty_answers.wrong_length(self._random, bytes_out))
+            return
         if self.mode == "garble":
             writer.write(bytes_out[: len(bytes_out) - 5])
             writer.close()
@@ -234,6 +270,18 @@
         writer.write(bytes_out)
         earlier.answer = bytes_out
 
+    async def _cut_stream(self, event, writer):
+        """Ends some streams between two events or within one, by a reset or not."""
+        if self._random.random() >= CUT_SHARE:
+            return False
+        if self._random.random() < 0.5:
+            writer.write(http11.chunk(event[:9]))
+        if self._random.random() < 0.5:
+            await asyncio.sleep(EVENT_PAUSE_S)
+            writer.transport.abort()
+        writer.close()
+        return True
+
     def _cut_head(self, bytes_out, writer):
         writer.write(faulty_answers.cut_head(self._random, bytes_out))
         writer.close()
@@ -249,14 +297,7 @@
         for number in range(after + 1, EVENTS + 1):
             last = " last" if number == EVENTS else ""
             event = f"id: {number}\ndata: {request_id}{last}\n\n".encode()
-            if self.mode == "cut" and self._random.random() < CUT_SHARE:
-                # Ends between two events or within one, by a reset or an end.
-                if self._random.random() < 0.5:
-                    writer.write(http11.chunk(event[:9]))
-                if self._random.random() < 0.5:
-                    await asyncio.sleep(EVENT_PAUSE_S)
-                    writer.transport.abort()
-                writer.close()
+            if self.mode == "cut" and await self._cut_stream(event, writer):
                 return
             writer.write(http11.chunk(event))
             await writer.drain()
--- a/tools/soak.d/soak.py
+++ b/tools/soak.d/soak.py
@@ -10,6 +10,7 @@
 import sys
 import tempfile
 import time
+from dataclasses import dataclass
 
 import callers
 import configuration
@@ -20,8 +21,10 @@
 from daemon_faults import DaemonFaults
 from daemons import Build, Daemon
 from replica_faults import ReplicaFaults
+from model_replicas import ModelReplica
 from replicas import COLD_S, Replica
 from rollout import Rollout
+from spans import Spans
 from store import Store
 
 ZONES = ("z1", "z2", "z3")
@@ -37,11 +40,40 @@
 MOST_ODD_ENTRIES = 3
 # Time without a disturbance from which a daemon's promises with a bound hold.
 CALM_S = 4.0
-CUSTOMERS = {"key-a": "a", "key-b": "b"}
+CUSTOMERS = {f"key-{number}": f"customer-{number}" for number in range(40)}
+# One model replica in so many works on after its stream was cut.
+WORKING_ON = 3
+# How much longer than it must a replica serves that leaves.
+LONGER_S = 0.3
+# A pause of the stand-ins' own loop above which what they note is late.
+LAG_S = 0.05
+
+
+@dataclass(frozen=True)
+class Fleet:
+    """How many there are of each."""
+
+    daemons: int
+    replicas: dict
+    callers: int
+
+    @staticmethod
+    def of_scale(scale):
+        replicas = {name: count * scale for name, count in REPLICAS.items()}
+        return Fleet(DAEMONS * scale, replicas, CALLERS * scale)
+
+
+def addresses(base, count):
+    """Loopback addresses, the last number of which ends before the replicas'."""
+    net, _, last = base.rpartition(".")
+    most = 240
+    return [
+        f"{net}.{(int(last) + at // most) % 256}.{at % most + 1}" for at in range(count)
+    ]
 
 
 class Soak:
-    def __init__(self, seed, folder, new, old=None, scale=1):
+    def __init__(self, seed, folder, new, old=None, scale=1, fleet=None):
         self.random = random.Random(seed)
         self.seed = seed
         self.store = Store()
@@ -51,13 +83,16 @@
         self.findings = []
         self.stray = []
         self.evacuations = []
+        self.models = 0
+        self.lags = Spans()
         self.version = 0
         self.keys = dict(CUSTOMERS)
         self.pending = set()
         # Addresses of this soak alone, so that two never meet.
         base = f"127.{100 + os.getpid() // 250 % 100}.{os.getpid() % 250}"
         self.scale = scale
-        ips = [f"{base}.{number}" for number in range(1, DAEMONS * scale + 1)]
+        self.fleet = fleet or Fleet.of_scale(scale)
+        ips = addresses(base, self.fleet.daemons)
         self.replica_ip = f"{base}.250"
         self.daemons = [
             Daemon(old or new, folder, ip, ZONES[at % len(ZONES)], ips[:3])
@@ -86,14 +121,23 @@
         self.began = time.monotonic()
         await self.store.open("127.0.0.1")
         await self.publish()
-        for service, count in REPLICAS.items():
-            for at in range(count * self.scale):
+        for service, count in self.fleet.replicas.items():
+            for at in range(count):
                 await self.add_replica(service, ZONES[at % len(ZONES)])
         for each in self.daemons:
             await each.open(self.store.address)
 
+    def new_replica(self, service, zone, is_cold):
+        if service != "engine":
+            return Replica(service, zone, self.ledger, is_cold, self.seed)
+        self.models += 1
+        drops = self.models % WORKING_ON != 0
+        return ModelReplica(
+            service, zone, self.ledger, is_cold, self.seed, drops=drops
+        )
+
     async def add_replica(self, service, zone, is_cold=False):
-        made = Replica(service, zone, self.ledger, is_cold, self.seed)
+        made = self.new_replica(service, zone, is_cold)
         made.all_calm = self.all_calm
         await made.open(self.replica_ip, self.store)
         self.replicas.append(made)
@@ -129,6 +173,29 @@
         await self.store.write(platform.REPLICAS, replica.id, None)
         replica.crash()
 
+    async def leave_after_outage(self, replica):
+        """The store falls silent and returns; as soon as it counts as stable, a
+        replica leaves that never says so."""
+        self.replicas.remove(replica)
+        self.gone.append(replica)
+        await self.add_replica(replica.service, replica.zone, is_cold=True)
+        self.store.set_mode("silent")
+        await asyncio.sleep(self.random.uniform(3, 4.5))
+        self.store.set_mode("up")
+        await asyncio.sleep(promises.STABLE_S + 0.05)
+        replica.removed_at = await self.store.write(
+            platform.REPLICAS, replica.id, None
+        )
+        await asyncio.sleep(promises.DRAIN_S + LONGER_S)
+        replica.crash()
+
+    async def watch_lags(self):
+        """Notes times in which the stand-ins themselves are late."""
+        while True:
+            due = time.monotonic() + LAG_S
+            await asyncio.sleep(LAG_S)
+            self.lags.note(time.monotonic() - due > LAG_S)
+
     async def add_odd_entries(self):
         """Another writer's entries among the replicas', then a restart amid them."""
         self.odd_entries_left -= 1
@@ -168,7 +235,7 @@
             if not daemon.is_calm(promises.CONFIGURATION_BOUND_S):
                 continue
             got = await callers.ask_once(
-                daemon.callers, "safe", "key-a", f"probe-{version}-{daemon.name}",
+                daemon.callers, "safe", "key-1", f"probe-{version}-{daemon.name}",
                 f"/v{version}/a",
             )
             self.ledger.pop(got.id, None)
@@ -186,6 +253,10 @@
             ("cut replica", replica.id, lambda: faults.cut(replica)),
             ("crash", replica.id, lambda: self.crash(replica)),
             ("leave", replica.id, lambda: self.leave(replica)),
+            (
+                "leave after an outage", replica.id,
+                lambda: self.leave_after_outage(replica),
+            ),
             ("turn cold", replica.id, lambda: faults.turn_cold(replica)),
             ("disturb store", "", self.disturb_store),
             ("change", "", self.change),
@@ -246,7 +317,7 @@
             callers.Caller(
                 first + at, self.seed, directories, list(CUSTOMERS), self.scale
             )
-            for at in range(CALLERS * self.scale)
+            for at in range(self.fleet.callers)
         ]
         end = time.monotonic() + seconds
         await asyncio.gather(*(each.run(end) for each in made))
@@ -255,12 +326,14 @@
 
     async def run(self, seconds):
         await self.open()
+        watching = asyncio.create_task(self.watch_lags())
         await asyncio.sleep(WARM_UP_S)
         disturbed = asyncio.create_task(self.disturb(seconds))
         outcomes = await self.traffic(seconds, 0)
         await disturbed
         await asyncio.sleep(promises.RECOVERY_BOUND_S)
-        at_rest = await self.traffic(REST_S, CALLERS * self.scale)
+        at_rest = await self.traffic(REST_S, self.fleet.callers)
+        watching.cancel()
         self.check(outcomes + at_rest, at_rest)
         # Connections that still stand are cut off with the loop, which is no error.
         asyncio.get_running_loop().set_exception_handler(lambda *_: None)
@@ -284,7 +357,13 @@
         self.findings += promises.lost_by_sound_processes(
             outcomes, self.ledger, self.daemons, replicas
         )
+        self.findings += promises.worked_on_twice(
+            outcomes, self.ledger, self.daemons, replicas
+        )
         self.findings += promises.late_at_leaving(replicas)
+        self.findings += promises.late_after_removal(
+            outcomes, self.daemons, replicas, self.store, self.lags
+        )
         self.findings += promises.reached_evacuated(
             replicas, self.evacuations, self.store.outages
         )
@@ -318,6 +397,13 @@
         print(f"broken{' by the old build' if by_old else ''}: {each.text}")
 
 
+def fleet_of(options):
+    if not options.fleet:
+        return None
+    daemons, plain, models, callers_of = map(int, options.fleet.split(","))
+    return Fleet(daemons, {"plain": plain, "engine": models}, callers_of)
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("seed", type=int)
@@ -332,6 +418,10 @@
         "--scale", type=int, default=1, choices=range(1, MOST_SCALE + 1),
         help="so many times the daemons, replicas and callers",
     )
+    parser.add_argument(
+        "--fleet", metavar="DAEMONS,PLAIN,MODELS,CALLERS",
+        help="so many of each, in place of --scale; faults come as for a scale of 1",
+    )
     parser.add_argument("--logs", help="folder for the daemons' logs; kept")
     options = parser.parse_args()
     folder = options.logs or tempfile.mkdtemp(prefix="sapphirereel-soak-")
@@ -340,7 +430,7 @@
     old = None
     if options.old_program:
         old = Build(promises.OLD_BUILD, options.old_program)
-    soak = Soak(options.seed, folder, new, old, options.scale)
+    soak = Soak(options.seed, folder, new, old, options.scale, fleet_of(options))
     try:
         outcomes = asyncio.run(soak.run(options.seconds))
     finally:
--- a/tools/soak.d/store.py
+++ b/tools/soak.d/store.py
@@ -39,6 +39,11 @@
     def is_calm(self, for_s):
         return self.mode == "up" and time.monotonic() - self.disturbed_at > for_s
 
+    def was_calm(self, since, until):
+        """Whether it was up in all that time."""
+        ended = all(end < since or start > until for start, end in self.outages)
+        return ended and (self.mode == "up" or self.disturbed_at > until)
+
     async def write(self, topic, key, value):
         """Appends a record; a value of none removes its key."""
         raw = b"" if value is None else json.dumps(value).encode()
