Soak: a removal in calm after an outage, renewed entries, calls lost with a silence

What: replicas renew their entries as the platform's do. Calls of the store that wait when it falls silent get no answer, so that readers begin anew shortly before the return. One outage at a time has the store's turn, and each run ends with one in calm, after which a replica leaves without a word. drain-ms is 1.5 s here, so that a grace of 2.2 s shows; the check's bound is that setting, and promises_test has the same steps with it. Callers at rest have numbers of their own, as there is one more round of traffic.

--- a/test/correctness/soak/promises_test.py
+++ b/test/correctness/soak/promises_test.py
@@ -89,13 +89,13 @@
                 promises.late_after_removal([got], [daemon], [replica], store, lags)
             )
 
-        self.assertFalse(late(102.05))
-        self.assertTrue(late(102.2))
+        self.assertFalse(late(101.55))
+        self.assertTrue(late(101.7))
         # Not where the store was not stable, the daemon disturbed, or the loop late.
-        self.assertFalse(late(102.2, lambda _, store, __: store.outages.append((96, 98))))
-        self.assertTrue(late(102.2, lambda _, store, __: store.outages.append((93, 96))))
-        self.assertFalse(late(102.2, lambda daemon, *_: daemon._touches.append(100.0)))
-        self.assertFalse(late(102.2, lambda _, __, lags: lags.note(True, 102.0)))
+        self.assertFalse(late(101.7, lambda _, store, __: store.outages.append((96, 98))))
+        self.assertTrue(late(101.7, lambda _, store, __: store.outages.append((93, 96))))
+        self.assertFalse(late(101.7, lambda daemon, *_: daemon._touches.append(100.0)))
+        self.assertFalse(late(101.7, lambda _, __, lags: lags.note(True, 101.5)))
 
     def test_refusals_are_true(self):
         refused = outcome(status=503, signature="")
--- a/tools/soak.d/daemons.py
+++ b/tools/soak.d/daemons.py
@@ -12,6 +12,8 @@
 
 CALLER_PORT, READY_PORT, DIRECTORY_PORT, PEER_PORT = 18740, 18749, 18746, 18720
 GRACE_S = 8
+# For how long a replica that leaves goes on to serve.
+DRAIN_MS = 1_500
 
 
 @dataclass(frozen=True)
@@ -71,6 +73,7 @@
             "platform.address": self.proxy.address,
             "bounds.retry-budget-ratio": 0.2, "bounds.budget-slack": 60,
             "bounds.budget-window-s": 10, "bounds.grace-s": GRACE_S,
+            "bounds.drain-ms": DRAIN_MS,
         }
         path = os.path.join(self._folder, f"{self.name}.boot")
         with open(path, "w") as file:
--- a/tools/soak.d/promises.py
+++ b/tools/soak.d/promises.py
@@ -5,6 +5,7 @@
 
 import odd_entries
 import replicas as serving
+from daemons import DRAIN_MS
 from findings import Finding
 
 # Bounds of this deployment, in seconds.
@@ -15,9 +16,9 @@
 MOST_PER_COLD_SECOND = int(serving.COLD_PER_S * 1.5 + 5)
 LEAST_SHARE_SERVED_AT_REST = 0.95
 
-# For how long a replica that leaves goes on to serve, and how late a stand-in may
-# read what has arrived.
-DRAIN_S = 2.0
+# For how long a replica goes on to serve whose entry was removed, and how late a
+# stand-in may read what has arrived.
+DRAIN_S = DRAIN_MS / 1e3
 DRAIN_SLACK_S = 0.1
 # Time without a disturbance after which the store, and a daemon, count as stable.
 STABLE_S = 3.0
--- a/tools/soak.d/replicas.py
+++ b/tools/soak.d/replicas.py
@@ -21,6 +21,8 @@
 COLD_S = 4.0
 # Time in which a daemon reports to its peers that a response stated a cold replica.
 COLD_KNOWN_S = 0.5
+# How often a replica renews its entry.
+BEAT_S = 1.2
 # Modes in which a replica may not answer what it is asked.
 MUTE_MODES = ("hang", "reset", "error", "gone")
 CUT_SHARE = 0.1
@@ -80,6 +82,9 @@
             self.cold_spans.append((time.monotonic(), self._warm_at))
         self._random = random.Random(f"{seed}.{self.id}")
         self._streams = 0
+        self._state = "ready"
+        self._renewals = 0
+        self._beats = None
         self._server = None
         self._open = set()
 
@@ -116,16 +121,32 @@
         port = self._server.sockets[0].getsockname()[1]
         await self.proxy.open(ip, f"{ip}:{port}")
         await self.register(store, "ready")
+        self._beats = asyncio.create_task(self._renew(store))
+
+    async def _renew(self, store):
+        """Renews its entry, as often as the platform's replicas do."""
+        while True:
+            await asyncio.sleep(BEAT_S)
+            # The store takes no records while it is disturbed.
+            if store.mode == "up":
+                await self.register(store, self._state)
+
+    def stop_renewing(self):
+        if self._beats is not None:
+            self._beats.cancel()
 
     async def register(self, store, state):
+        self._state = state
+        self._renewals += 1
         entry = {
             "service": self.service, "address": self.proxy.address,
             "zone": self.zone, "slots": SLOTS, "state": state,
+            "sequence": self._renewals,
             "born": int(self._born * 1_000),
             "cold-remaining-ms": self._cold_ms(),
         }
         acknowledged = await store.write(platform.REPLICAS, self.id, entry)
-        if state == "draining":
+        if state == "draining" and self.left_at is None:
             self.left_at = acknowledged
 
     def turn_cold(self):
@@ -156,6 +177,7 @@
 
     def crash(self):
         self.mode = "gone"
+        self.stop_renewing()
         self._server.close()
         for writer in list(self._open):
             writer.transport.abort()
--- a/tools/soak.d/soak.py
+++ b/tools/soak.d/soak.py
@@ -35,6 +35,8 @@
 MOST_SCALE = 40
 WARM_UP_S = 3.0
 REST_S = 4.0
+# An outage, the time until the store is stable, and the end of a replica.
+CALM_LEAVE_S = 10.0
 ENTRY_LIFE_S = 3.0
 # How often another writer adds entries, which are large.
 MOST_ODD_ENTRIES = 3
@@ -44,7 +46,7 @@
 # One model replica in so many works on after its stream was cut.
 WORKING_ON = 3
 # How much longer than it must a replica serves that leaves.
-LONGER_S = 0.3
+LONGER_S = 0.8
 # A pause of the stand-ins' own loop above which what they note is late.
 LAG_S = 0.05
 
@@ -84,6 +86,8 @@
         self.stray = []
         self.evacuations = []
         self.models = 0
+        # Whoever has it may disturb the store.
+        self.store_turn = asyncio.Lock()
         self.lags = Spans()
         self.version = 0
         self.keys = dict(CUSTOMERS)
@@ -152,9 +156,11 @@
     # Faults. Each undoes itself; several overlap.
 
     async def disturb_store(self):
-        self.store.set_mode(self.random.choice(["silent", "busy", "reset", "slow"]))
-        await asyncio.sleep(self.random.uniform(0.5, 4))
-        self.store.set_mode("up")
+        async with self.store_turn:
+            mode = self.random.choice(["silent", "busy", "reset", "slow"])
+            self.store.set_mode(mode)
+            await asyncio.sleep(self.random.uniform(0.5, 4))
+            self.store.set_mode("up")
 
     async def crash(self, replica):
         self.replicas.remove(replica)
@@ -170,6 +176,7 @@
         await self.add_replica(replica.service, replica.zone, is_cold=True)
         await replica.register(self.store, "draining")
         await asyncio.sleep(promises.DRAIN_BOUND_S + 2)
+        replica.stop_renewing()
         await self.store.write(platform.REPLICAS, replica.id, None)
         replica.crash()
 
@@ -179,16 +186,30 @@
         self.replicas.remove(replica)
         self.gone.append(replica)
         await self.add_replica(replica.service, replica.zone, is_cold=True)
-        self.store.set_mode("silent")
-        await asyncio.sleep(self.random.uniform(3, 4.5))
-        self.store.set_mode("up")
-        await asyncio.sleep(promises.STABLE_S + 0.05)
-        replica.removed_at = await self.store.write(
-            platform.REPLICAS, replica.id, None
-        )
-        await asyncio.sleep(promises.DRAIN_S + LONGER_S)
+        async with self.store_turn:
+            self.store.set_mode("silent")
+            # The readers' calls begin anew shortly before the return, and are lost.
+            await asyncio.sleep(self.random.uniform(3.7, 3.8))
+            self.store.set_mode("up")
+            await asyncio.sleep(promises.STABLE_S + 0.05)
+            replica.stop_renewing()
+            replica.removed_at = await self.store.write(
+                platform.REPLICAS, replica.id, None
+            )
+            await asyncio.sleep(promises.DRAIN_S + LONGER_S)
         replica.crash()
 
+    async def leave_in_calm(self):
+        """The same without other faults, in which all readers of the store lose it
+        and have it back at the same time."""
+        plain = [each for each in self.replicas if each.service == "plain"]
+        leaving = asyncio.create_task(
+            self.leave_after_outage(self.random.choice(plain))
+        )
+        outcomes = await self.traffic(CALM_LEAVE_S, self.fleet.callers)
+        await leaving
+        return outcomes
+
     async def watch_lags(self):
         """Notes times in which the stand-ins themselves are late."""
         while True:
@@ -253,14 +274,16 @@
             ("cut replica", replica.id, lambda: faults.cut(replica)),
             ("crash", replica.id, lambda: self.crash(replica)),
             ("leave", replica.id, lambda: self.leave(replica)),
-            (
-                "leave after an outage", replica.id,
-                lambda: self.leave_after_outage(replica),
-            ),
             ("turn cold", replica.id, lambda: faults.turn_cold(replica)),
-            ("disturb store", "", self.disturb_store),
             ("change", "", self.change),
         ]
+        # Each outage has its own return, after which the store is stable.
+        if not self.store_turn.locked():
+            leave = functools.partial(self.leave_after_outage, replica)
+            kinds += [
+                ("disturb store", "", self.disturb_store),
+                ("leave after an outage", replica.id, leave),
+            ]
         evacuated = [each.zone for each in self.evacuations if each.is_open()]
         zones = [zone for zone in ZONES if zone not in evacuated]
         # All zones at once are rare, as nothing else is tested meanwhile.
@@ -332,7 +355,8 @@
         outcomes = await self.traffic(seconds, 0)
         await disturbed
         await asyncio.sleep(promises.RECOVERY_BOUND_S)
-        at_rest = await self.traffic(REST_S, self.fleet.callers)
+        outcomes += await self.leave_in_calm()
+        at_rest = await self.traffic(REST_S, 2 * self.fleet.callers)
         watching.cancel()
         self.check(outcomes + at_rest, at_rest)
         # Connections that still stand are cut off with the loop, which is no error.
--- a/tools/soak.d/store.py
+++ b/tools/soak.d/store.py
@@ -68,7 +68,11 @@
                 if self.mode == "busy":
                     writer.write(http11.answer(503))
                 else:
-                    writer.write(await self._answer(asked))
+                    bytes_out = await self._answer(asked)
+                    # Calls that wait when the silence begins get no answer either.
+                    if self.mode == "silent":
+                        await asyncio.sleep(3_600)
+                    writer.write(bytes_out)
                 await writer.drain()
         except (http11.Broken, ConnectionError):
             pass
