A lost run whose replica was never asked is not taken for ended

Callers saw: nothing yet; found by reading. An order that stops a lost run needs a permit where the replica states a rate. If none was had for 1.5 s, no order was sent, and the run went on elsewhere as if its replica were out of reach: it may still have worked on it (TWICE).

Cause: the silence of a replica and the lack of a question were the same state.

Evidence: lost_run.of_a_replica_that_was_never_asked_is_unknown fails on the code before (the run counts as gone) and passes now.

Fix: without an order sent, nothing is known, and the stream ends as incomplete.

The class: orders that find no connection are counted by their failure, and those that are sent and not answered by their timeout; neither can act.

--- a/packages/relay/include/sapphirereel/relay/lost_run_end.hpp
+++ b/packages/relay/include/sapphirereel/relay/lost_run_end.hpp
@@ -72,6 +72,8 @@
     time_point began_;
     duration delay_ = stop_retry_delay;
     unsigned failed_connects_ = 0;
+    /// Whether an order has been sent.
+    bool was_asked_ = false;
     /// Whether the replica has responded in any way.
     bool has_responded_ = false;
 };
--- a/packages/relay/src/lost_run_end.cpp
+++ b/packages/relay/src/lost_run_end.cpp
@@ -26,6 +26,7 @@
 auto lost_run_inquiry::record(migration_result const& result, time_point now)
     -> std::optional<lost_run_end>
 {
+    was_asked_ = true;
     if (!result.response.handle.empty())
     {
         return lost_run_end::stopped;
@@ -53,7 +54,8 @@
 
 auto lost_run_inquiry::outcome_without_answer() const -> lost_run_end
 {
-    return has_responded_ ? lost_run_end::unknown : lost_run_end::gone;
+    return was_asked_ && !has_responded_ ? lost_run_end::gone
+                                         : lost_run_end::unknown;
 }
 
 } // namespace sapphirereel::relay
--- a/test/correctness/relay/broken_streams_stop_their_runs_first.cpp
+++ b/test/correctness/relay/broken_streams_stop_their_runs_first.cpp
@@ -196,6 +196,15 @@
     EXPECT_EQ(inquiry.time_left(at_end), duration{0});
 }
 
+// No permit may be had for a replica that states a rate: that no order was sent
+// shows nothing.
+TEST(lost_run, of_a_replica_that_was_never_asked_is_unknown)
+{
+    EXPECT_EQ(
+        lost_run_inquiry{began}.outcome_without_answer(),
+        lost_run_end::unknown);
+}
+
 TEST(lost_run, of_a_replica_that_never_answered_counts_as_gone)
 {
     auto inquiry = lost_run_inquiry{began};
