A request that has waited is not passed on late in a planned stop

Callers saw (operators of systems like ours): in a planned stop, requests were taken late in the grace, passed on, and cut at its end, among them some that must not be repeated. Reproduced here for two paths: a stream that waited for room was held on and would have been sent as late as room was found; and a request that may run once, rejected by its replica 0.4 s before the cut, was sent to another one.

Cause: whether the stop leaves a request its time was decided as it arrived, and not again when it was passed on.

Evidence: late_requests_of_a_stop_are_not_cut. On the code before, 2 of its 5 tests fail (that_waited_for_room_is_refused, and that_a_replica_rejected_is_not_sent_again, where the second replica gets the request); all 5 pass now. The other 3 passed before too: a body that arrives slowly, a request that a peer forwarded, a second stop request.

Fix: the same question is asked before each attempt of a request that has not run: at a replica, for a held stream, through a peer. The moments of a stop are one value, stop_times, in place of three figures computed where needed.

The class: first attempts, attempts after a rejection, held streams, attempts through a second peer (no test of its own) acted. Repeats of safe requests, and streams that go on from a copy, have run and keep their rules. SIGHUP and new versions change no deadline and no stop. sapphirereeld refuses nothing in a stop and ends when nothing is open: it can't act.

--- a/packages/relay/include/sapphirereel/relay/cluster_sync.hpp
+++ b/packages/relay/include/sapphirereel/relay/cluster_sync.hpp
@@ -128,7 +128,7 @@
     /// the log.
     auto fill_report(peer_report& report, time_point now) const -> void
     {
-        report.is_log_reachable = is_log_reachable() && !state_.stopping;
+        report.is_log_reachable = is_log_reachable() && !state_.is_stopping();
         report.configuration_next = configuration_.cache().changed_until();
         report.replicas_next = replicas_.cache().changed_until();
         report.leaving = leaving_.entries_to_report(now);
--- a/packages/relay/include/sapphirereel/relay/exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/exchange.hpp
@@ -184,6 +184,11 @@
     /// are in evacuated zones. Returns whether it did.
     auto refuse_if_evacuated() -> bool;
 
+    /// Whether the request has not run, and this daemon's planned stop would
+    /// cut it off if it began now: it may have waited, or have been rejected,
+    /// since it was accepted.
+    [[nodiscard]] auto is_too_late_to_begin(time_point now) const -> bool;
+
     /// Ends the request with an error status that does not state whether it was
     /// executed.
     auto fail(int status, std::string_view why) -> void;
--- a/packages/relay/include/sapphirereel/relay/forwarded_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/forwarded_exchange.hpp
@@ -102,6 +102,11 @@
             give_up(refusal_reason::deadline, 504, "no time is left");
             return;
         }
+        if (exchange_.is_too_late_to_begin(now))
+        {
+            interrupted(interruption::stop);
+            return;
+        }
         auto const peer =
             tried_.size() < max_forwards
                 ? exchange_.state.choose_peer(exchange_.service, tried_, now)
--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -171,7 +171,7 @@
     /// Whether this daemon accepts callers.
     [[nodiscard]] auto is_ready() const -> bool
     {
-        return state_.table != nullptr && !state_.stopping;
+        return state_.table != nullptr && !state_.is_stopping();
     }
 
     /// Whether the last calls to the platform's log succeeded.
@@ -224,12 +224,13 @@
     /// Begins a planned stop; `done` is called when the process may exit.
     auto stop(std::function<void()> done) -> void
     {
-        if (std::exchange(state_.stopping, true))
+        if (state_.is_stopping())
         {
             return;
         }
         on_stopped_ = std::move(done);
-        stop_began_ = telemetry::monotonic_now();
+        auto const now = telemetry::monotonic_now();
+        state_.stop = {now, now + settings_.stop_limit - stop_margin};
         state_.log.info(
             "stop", "planned stop began",
             {{"active", state_.open_exchanges->size()}});
@@ -278,7 +279,7 @@
             record_incomplete(which, telemetry::monotonic_now());
         });
         sessions_.push_back(session);
-        if (state_.stopping && stop_closes_idle_)
+        if (state_.is_stopping() && stop_closes_idle_)
         {
             // A connection accepted this late is closed after one request.
             session->close_after_next();
@@ -296,8 +297,8 @@
             {{"by", std::string{name_of(which.ended_by)}},
              {"stage", std::string{name_of(which.stage)}},
              {"unsent_bytes", which.unsent_bytes},
-             {"stopping", state_.stopping},
-             {"since_stop", since(stop_began_, now)},
+             {"stopping", state_.is_stopping()},
+             {"since_stop", stopping_for(now)},
              {"since_reload", since(reloaded_at_, now)},
              {"since_configuration", since(configured_at_, now)},
              {"process_age", since(started_at_, now)}});
@@ -322,7 +323,7 @@
         std::optional<forward_terms> forwarded = std::nullopt) -> void
     {
         auto const is_forwarded = forwarded.has_value();
-        if (state_.stopping)
+        if (state_.is_stopping())
         {
             from->close_after_next();
         }
@@ -360,7 +361,9 @@
             refuse_poison(*from, {read->id, is_forwarded});
             return;
         }
-        if (!accepts_now(*granted, now))
+        if (state_.stop &&
+            !accepts_while_stopping(
+                *state_.stop, granted->route->kind, granted->deadline, now))
         {
             send_refusal(
                 *from, {refusal_reason::stopping, 503, retry_elsewhere_after},
@@ -445,20 +448,6 @@
         return !is_trial;
     }
 
-    /// Whether a request that arrives now is accepted as far as a planned stop
-    /// is concerned.
-    [[nodiscard]] auto accepts_now(grant const& terms, time_point now) const
-        -> bool
-    {
-        auto const stopping_for = since(stop_began_, now);
-        return !state_.stopping ||
-               accepts_while_stopping(
-                   terms.route->kind,
-                   {stopping_for,
-                    settings_.stop_limit - stop_margin - stopping_for,
-                    terms.deadline - now});
-    }
-
     // Peers.
 
     auto set_permit_handlers() -> void
@@ -626,6 +615,12 @@
 
     // Planned stop.
 
+    /// Time since the stop request; 0 if there was none.
+    [[nodiscard]] auto stopping_for(time_point now) const -> duration
+    {
+        return state_.stop ? now - state_.stop->began : duration{0};
+    }
+
     auto check_stop() -> void
     {
         auto is_done = false;
@@ -653,8 +648,8 @@
     /// Does what is due in a planned stop; returns whether it has ended.
     auto advance_stop(time_point now) -> bool
     {
-        auto const stopping_for = since(stop_began_, now);
-        if (stopping_for >= close_idle_after &&
+        auto const elapsed = stopping_for(now);
+        if (elapsed >= close_idle_after &&
             !std::exchange(stop_closes_idle_, true))
         {
             for (auto const& each : sessions_)
@@ -665,8 +660,7 @@
                 }
             }
         }
-        auto const is_cut_due =
-            stopping_for >= settings_.stop_limit - stop_margin;
+        auto const is_cut_due = now >= state_.stop->cut_at;
         if (is_cut_due && !std::exchange(requests_interrupted_, true))
         {
             state_.log.info(
@@ -674,14 +668,13 @@
                 {{"active", state_.open_exchanges->size()}});
             interrupt_requests(interruption::stop);
         }
-        auto const may_exit = stopping_for >= min_stop_time || is_cut_due;
+        auto const may_exit = elapsed >= min_stop_time || is_cut_due;
         auto const is_done = may_exit && !is_in_use();
-        if (is_done || stopping_for >= settings_.stop_limit - exit_margin)
+        if (is_done || elapsed >= settings_.stop_limit - exit_margin)
         {
             auto const cut = record_cut_sessions(now);
             state_.log.info(
-                "stop", "stopped",
-                {{"broken_off", cut}, {"after", stopping_for}});
+                "stop", "stopped", {{"broken_off", cut}, {"after", elapsed}});
             on_stopped_();
             return true;
         }
@@ -754,7 +747,6 @@
     asio::steady_timer stop_timer_;
     std::function<void()> on_stopped_;
     std::optional<time_point> started_at_;
-    std::optional<time_point> stop_began_;
     std::optional<time_point> reloaded_at_;
     std::optional<time_point> configured_at_;
     /// The configuration that was in force at the last tick.
--- a/packages/relay/include/sapphirereel/relay/relay_state.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_state.hpp
@@ -18,6 +18,7 @@
 #include "sapphirereel/relay/room_policy.hpp"
 #include "sapphirereel/relay/routing.hpp"
 #include "sapphirereel/relay/send_gate.hpp"
+#include "sapphirereel/relay/stop_policy.hpp"
 #include "sapphirereel/relay/upstream_call.hpp"
 
 #include <functional>
@@ -146,7 +147,13 @@
     /// holds may be destroyed after this state.
     std::shared_ptr<std::set<exchange*>> open_exchanges =
         std::make_shared<std::set<exchange*>>();
-    bool stopping = false;
+    /// Set once a planned stop was requested.
+    std::optional<stop_times> stop;
+
+    [[nodiscard]] auto is_stopping() const -> bool
+    {
+        return stop.has_value();
+    }
 };
 
 } // namespace sapphirereel::relay
--- a/packages/relay/include/sapphirereel/relay/stop_policy.hpp
+++ b/packages/relay/include/sapphirereel/relay/stop_policy.hpp
@@ -17,21 +17,23 @@
 inline constexpr auto min_time_for_request =
     duration{std::chrono::milliseconds{1'200}};
 
-/// A moment of a planned stop, as a request arrives.
-struct stop_moment
+/// The moments of a planned stop.
+struct stop_times
 {
-    /// Time since the stop request.
-    duration stopping_for{0};
-    /// Time until requests in progress are cut off.
-    duration until_cut{0};
-    /// Time until the request's deadline.
-    duration until_deadline{0};
-    auto operator<=>(stop_moment const&) const = default;
+    /// When the stop was requested.
+    time_point began;
+    /// When requests in progress are cut off.
+    time_point cut_at;
+    auto operator<=>(stop_times const&) const = default;
 };
 
-/// Whether a request is accepted: the stop must not cut it off before its
+/// Whether a request may begin now: the stop must not cut it off before its
 /// deadline. A stream is not expected to end in time.
-auto accepts_while_stopping(request_kind kind, stop_moment const& at) -> bool;
+auto accepts_while_stopping(
+    stop_times const& stop,
+    request_kind kind,
+    time_point deadline,
+    time_point now) -> bool;
 
 } // namespace sapphirereel::relay
 
--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -149,6 +149,11 @@
             give_up(refusal_reason::deadline, 504, "no time is left");
             return;
         }
+        if (exchange_.is_too_late_to_begin(now))
+        {
+            interrupted(interruption::stop);
+            return;
+        }
         if (exchange_.refuse_if_evacuated())
         {
             room_.release();
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -482,6 +482,13 @@
     }
 }
 
+auto exchange::is_too_late_to_begin(time_point now) const -> bool
+{
+    return state.stop && !may_have_run() &&
+           !accepts_while_stopping(
+               *state.stop, granted.route->kind, granted.deadline, now);
+}
+
 auto exchange::fail(int status, std::string_view why) -> void
 {
     if (std::exchange(finished, true))
--- a/packages/relay/src/stop_policy.cpp
+++ b/packages/relay/src/stop_policy.cpp
@@ -2,15 +2,18 @@
 
 namespace sapphirereel::relay {
 
-auto accepts_while_stopping(request_kind kind, stop_moment const& at) -> bool
+auto accepts_while_stopping(
+    stop_times const& stop,
+    request_kind kind,
+    time_point deadline,
+    time_point now) -> bool
 {
-    if (at.stopping_for < accept_all_for)
+    if (now - stop.began < accept_all_for)
     {
         return true;
     }
     return kind != request_kind::stream &&
-           at.until_cut >= min_time_for_request &&
-           at.until_cut >= at.until_deadline;
+           stop.cut_at - now >= min_time_for_request && stop.cut_at >= deadline;
 }
 
 } // namespace sapphirereel::relay
