--- a/test/correctness/relay/late_requests_of_a_stop_are_not_cut.cpp
+++ b/test/correctness/relay/late_requests_of_a_stop_are_not_cut.cpp
@@ -97,7 +97,7 @@
 {
     more.push_back({"Host", "h"});
     more.push_back({"X-Sapphirereel-Request-Id", id});
-    return http::write_request("POST", target, std::move(more), body);
+    return http::write_request("POST", target, more, body);
 }
 
 auto expect_refused(raw_caller& caller) -> void
