Watch allocations under the thread sanitizer, too

The tests of stated lengths replace operator new to refuse what is too large, and the thread sanitizer's library defines the same operators: the test programs of packages/http could not be linked ("multiple definition of operator new"), so that no test ran in that variant.

What: in that variant the watch uses the sanitizer's hook for allocations. No exception may pass through the hook, so that an allocation that is too large ends the test program, which fails the run as the exception does elsewhere. The plain and address variants are as before. No test was changed but for a comment.

--- a/test/correctness/relay/broken_streams_stop_their_runs_first.cpp
+++ b/test/correctness/relay/broken_streams_stop_their_runs_first.cpp
@@ -1,6 +1,6 @@
 // A stream that its replica broke off went on at another replica while the
-// first still worked on it (TWICE). The first is told to stop the run, and is
-// asked whether it has it, before the run goes on elsewhere.
+// first still worked on it (TWICE). The first is ordered to stop the run, which
+// also shows whether it has it, before the run goes on elsewhere.
 #include "support/relay/working_engine.hpp"
 
 #include <gtest/gtest.h>
--- a/test/support/allocation_watch.cpp
+++ b/test/support/allocation_watch.cpp
@@ -5,6 +5,17 @@
 #include <limits>
 #include <new>
 
+#if defined(__has_feature)
+#if __has_feature(thread_sanitizer)
+#define SAPPHIREREEL_HAS_ALLOCATION_HOOKS
+#endif
+#endif
+
+#ifdef SAPPHIREREEL_HAS_ALLOCATION_HOOKS
+#include <cstdio>
+#include <sanitizer/allocator_interface.h>
+#endif
+
 namespace sapphirereel::test {
 namespace {
 
@@ -30,6 +41,35 @@
     return asked;
 }
 
+#ifdef SAPPHIREREEL_HAS_ALLOCATION_HOOKS
+
+// The thread sanitizer defines the operators itself, and calls a hook for each
+// allocation. No exception may pass through it: what is too large ends the test
+// program.
+
+namespace {
+
+auto check_allocation(void const volatile* /*memory*/, std::size_t size) -> void
+{
+    asked = std::max(asked, size);
+    if (size > granted)
+    {
+        std::fprintf(
+            stderr, "an allocation of %zu bytes where %zu are granted\n", size,
+            granted);
+        std::abort();
+    }
+}
+
+[[maybe_unused]] auto const hooks_are_installed =
+    __sanitizer_install_malloc_and_free_hooks(
+        check_allocation, [](void const volatile* /*memory*/) {});
+
+} // namespace
+} // namespace sapphirereel::test
+
+#else
+
 namespace {
 
 auto allocate(std::size_t size) -> void*
@@ -76,3 +116,5 @@
 {
     std::free(memory);
 }
+
+#endif
--- a/test/support/allocation_watch.hpp
+++ b/test/support/allocation_watch.hpp
@@ -9,8 +9,8 @@
 namespace sapphirereel::test {
 
 /// Watches the allocations of its thread while it exists. A larger one than
-/// `most_bytes` throws `std::bad_alloc`, as memory that is not there would.
-/// Watches do not nest.
+/// `most_bytes` throws `std::bad_alloc`, as memory that is not there would;
+/// under the thread sanitizer it ends the program. Watches do not nest.
 class allocation_watch
 {
 public:
