Soak: its size and its verdict in modules of their own

Why: soak.py had grown to 469 lines and held what a run is like, how large it is, where its daemons listen and which promises are applied to it.

What: fleet.py (numbers, addresses), verdict.py (the promises applied to a run). soak.py keeps the run and its faults, 399 lines. The same 16 checks in the same run; the unused name keys became customers.

--- a/tools/soak.d/soak.py
+++ b/tools/soak.d/soak.py
@@ -10,7 +10,6 @@
 import sys
 import tempfile
 import time
-from dataclasses import dataclass
 
 import callers
 import configuration
@@ -18,19 +17,18 @@
 import odd_entries
 import promises
 import store as platform
+import verdict
 from daemon_faults import DaemonFaults
 from daemons import Build, Daemon
+from fleet import Fleet, addresses
 from replica_faults import ReplicaFaults
 from model_replicas import ModelReplica
-from replicas import COLD_S, Replica
+from replicas import Replica
 from rollout import Rollout
 from spans import Spans
 from store import Store
 
 ZONES = ("z1", "z2", "z3")
-DAEMONS = 6
-REPLICAS = {"plain": 5, "engine": 5}
-CALLERS = 40
 # A few hundred processes at most.
 MOST_SCALE = 40
 WARM_UP_S = 3.0
@@ -51,29 +49,6 @@
 LAG_S = 0.05
 
 
-@dataclass(frozen=True)
-class Fleet:
-    """How many there are of each."""
-
-    daemons: int
-    replicas: dict
-    callers: int
-
-    @staticmethod
-    def of_scale(scale):
-        replicas = {name: count * scale for name, count in REPLICAS.items()}
-        return Fleet(DAEMONS * scale, replicas, CALLERS * scale)
-
-
-def addresses(base, count):
-    """Loopback addresses, the last number of which ends before the replicas'."""
-    net, _, last = base.rpartition(".")
-    most = 240
-    return [
-        f"{net}.{(int(last) + at // most) % 256}.{at % most + 1}" for at in range(count)
-    ]
-
-
 class Soak:
     def __init__(self, seed, folder, new, old=None, scale=1, fleet=None):
         self.random = random.Random(seed)
@@ -90,7 +65,7 @@
         self.store_turn = asyncio.Lock()
         self.lags = Spans()
         self.version = 0
-        self.keys = dict(CUSTOMERS)
+        self.customers = dict(CUSTOMERS)
         self.pending = set()
         # Addresses of this soak alone, so that two never meet.
         base = f"127.{100 + os.getpid() // 250 % 100}.{os.getpid() % 250}"
@@ -149,7 +124,7 @@
     async def publish(self):
         """Writes a next version."""
         self.version += 1
-        whole = configuration.of_version(self.version, self.keys)
+        whole = configuration.of_version(self.version, self.customers)
         await self.store.write(platform.CONFIGURATION, "config", whole)
         return self.version
 
@@ -338,7 +313,7 @@
         directories = [each.directory for each in self.daemons]
         made = [
             callers.Caller(
-                first + at, self.seed, directories, list(CUSTOMERS), self.scale
+                first + at, self.seed, directories, list(self.customers), self.scale
             )
             for at in range(self.fleet.callers)
         ]
@@ -358,50 +333,11 @@
         outcomes += await self.leave_in_calm()
         at_rest = await self.traffic(REST_S, 2 * self.fleet.callers)
         watching.cancel()
-        self.check(outcomes + at_rest, at_rest)
+        self.findings += verdict.findings(self, outcomes + at_rest, at_rest)
         # Connections that still stand are cut off with the loop, which is no error.
         asyncio.get_running_loop().set_exception_handler(lambda *_: None)
         return outcomes + at_rest
 
-    def name_builds(self, outcomes):
-        by_address = {each.callers: each for each in self.daemons}
-        for got in outcomes:
-            got.build = by_address[got.daemon].build_at(got.sent_at)
-
-    def check(self, outcomes, at_rest):
-        self.name_builds(outcomes)
-        self.findings += promises.runs_too_often(outcomes, self.ledger)
-        self.findings += promises.refused_and_run(outcomes, self.ledger)
-        self.findings += promises.wrong_answers(outcomes, self.ledger)
-        self.findings += promises.answers_to_others(outcomes)
-        self.findings += promises.stray_successes(self.stray)
-        self.findings += promises.wrong_customers(outcomes, self.ledger, CUSTOMERS)
-        self.findings += promises.unasked_runs(outcomes, self.ledger)
-        replicas = self.replicas + self.gone
-        self.findings += promises.lost_by_sound_processes(
-            outcomes, self.ledger, self.daemons, replicas
-        )
-        self.findings += promises.worked_on_twice(
-            outcomes, self.ledger, self.daemons, replicas
-        )
-        self.findings += promises.late_at_leaving(replicas)
-        self.findings += promises.late_after_removal(
-            outcomes, self.daemons, replicas, self.store, self.lags
-        )
-        self.findings += promises.reached_evacuated(
-            replicas, self.evacuations, self.store.outages
-        )
-        for order in self.evacuations:
-            # Replicas of a returned zone are cold if its evacuation was known.
-            if order.is_in_force(order.until, self.store.outages):
-                for each in replicas:
-                    if each.zone == order.zone:
-                        each.cold_spans.append((order.until, order.until + COLD_S))
-        self.findings += promises.too_many_while_cold(replicas)
-        self.findings += promises.reached_by_odd_entries(replicas)
-        self.findings += promises.ended_unasked(self.daemons)
-        self.findings += promises.not_recovered(at_rest)
-
     def close(self):
         for each in self.daemons:
             each.kill()
@@ -421,13 +357,6 @@
         print(f"broken{' by the old build' if by_old else ''}: {each.text}")
 
 
-def fleet_of(options):
-    if not options.fleet:
-        return None
-    daemons, plain, models, callers_of = map(int, options.fleet.split(","))
-    return Fleet(daemons, {"plain": plain, "engine": models}, callers_of)
-
-
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("seed", type=int)
@@ -454,7 +383,8 @@
     old = None
     if options.old_program:
         old = Build(promises.OLD_BUILD, options.old_program)
-    soak = Soak(options.seed, folder, new, old, options.scale, fleet_of(options))
+    fleet = Fleet.of_text(options.fleet) if options.fleet else None
+    soak = Soak(options.seed, folder, new, old, options.scale, fleet)
     try:
         outcomes = asyncio.run(soak.run(options.seconds))
     finally:
