--- a/test/correctness/relay/late_requests_of_a_stop_are_not_cut.cpp
+++ b/test/correctness/relay/late_requests_of_a_stop_are_not_cut.cpp
@@ -113,7 +113,7 @@
     return {{"X-Sapphirereel-Token-Count", "8000,900"}};
 }
 
-// A stream that waited for room was sent 0.4 s before it was cut.
+// A stream that waited for room waited on, to be sent whenever room was found.
 TEST(late_request, that_waited_for_room_is_refused)
 {
     auto with = stopping_relay{"engine"};
