Copies between daemons: log why a fetch failed, how much had arrived and when

'failed to fetch a peer's copy' did not tell a refusal (503) from a time-out in the middle of the bytes, so that two of the four hypotheses looked alike in the logs of the incident. The line now has the reason, the bytes of the body that had arrived and the time; a success has bytes and time too. No decision changes.

--- a/packages/relay/include/sapphirereel/relay/buffered_call.hpp
+++ b/packages/relay/include/sapphirereel/relay/buffered_call.hpp
@@ -37,6 +37,7 @@
     buffered_call(asio::io_context& loop, buffered_response_handler done);
 
     auto finish(buffered_response answer) -> void;
+    auto fail(call_failure why) -> void;
 
     asio::steady_timer timer_;
     buffered_response_handler done_;
--- a/packages/relay/include/sapphirereel/relay/cluster_sync.hpp
+++ b/packages/relay/include/sapphirereel/relay/cluster_sync.hpp
@@ -50,6 +50,9 @@
 inline constexpr auto fetch_timeout = duration{std::chrono::milliseconds{800}};
 inline constexpr auto fetch_interval = duration{std::chrono::milliseconds{50}};
 
+/// Status of a copy that a peer does not send now.
+inline constexpr auto status_refused = 503;
+
 /// Keeps the configuration and the replicas in `relay_state` up to date.
 /// `Reader` decodes records of the log. Must outlive the loop's run.
 template <keyed_log Log, class Reader>
@@ -692,6 +695,7 @@
     {
         state_.metrics.add(relay_counter::peer_fetches);
         fetching_.insert(stream);
+        auto const began = telemetry::monotonic_now();
         auto const to = listen_address{from.ip, own_.port}.endpoint();
         buffered_call::start(
             state_.loop, state_.pool, to,
@@ -699,24 +703,27 @@
                 "GET", copy_path({stream, follower_of(stream).cache().next()}),
                 {{"Host", from.ip}}, {}),
             fetch_timeout,
-            [this, stream, ip = from.ip](buffered_response const& answer) {
+            [this, stream, ip = from.ip,
+             began](buffered_response const& answer) {
                 fetching_.erase(stream);
                 auto const copy = answer && answer->head.status == 200
                                       ? read_copy(answer->body)
                                       : std::nullopt;
-                state_.log.info(
-                    "peers",
-                    copy ? "fetched a peer's copy"
-                         : "failed to fetch a peer's copy",
-                    {{"stream", std::string{name_of(stream)}},
-                     {"peer", ip},
-                     {"whole", copy && copy->is_snapshot},
-                     {"era", copy ? copy->page.next.era : 0},
-                     {"next", copy ? copy->page.next.offset : 0}});
+                auto const took = telemetry::monotonic_now() - began;
                 if (!copy)
                 {
+                    report_failed_fetch(stream, ip, answer, took);
                     return;
                 }
+                state_.log.info(
+                    "peers", "fetched a peer's copy",
+                    {{"stream", std::string{name_of(stream)}},
+                     {"peer", ip},
+                     {"whole", copy->is_snapshot},
+                     {"bytes", answer->body.size()},
+                     {"after_ms", milliseconds_of(took)},
+                     {"era", copy->page.next.era},
+                     {"next", copy->page.next.offset}});
                 if (copy->is_snapshot)
                 {
                     follower_of(stream).apply_peer_snapshot(copy->page);
@@ -728,6 +735,34 @@
             });
     }
 
+    auto report_failed_fetch(
+        keyed_stream stream,
+        std::string const& ip,
+        buffered_response const& answer,
+        duration took) -> void
+    {
+        auto const is_refused = answer && answer->head.status == status_refused;
+        state_.metrics.add(
+            is_refused ? relay_counter::peer_fetches_refused
+                       : relay_counter::peer_fetches_failed);
+        state_.log.info(
+            "peers", "failed to fetch a peer's copy",
+            {{"stream", std::string{name_of(stream)}},
+             {"peer", ip},
+             {"why", is_refused ? "refused"
+                     : answer   ? "no valid copy"
+                                : answer.error().detail},
+             {"bytes",
+              answer ? answer->body.size() : answer.error().body_bytes},
+             {"after_ms", milliseconds_of(took)}});
+    }
+
+    static auto milliseconds_of(duration length) -> std::int64_t
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(length)
+            .count();
+    }
+
     auto follower_of(keyed_stream stream) -> log_follower<Log>&
     {
         return stream == keyed_stream::configuration ? configuration_
--- a/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
@@ -52,6 +52,10 @@
     peer_bytes_sent,
     peer_reports_received,
     peer_fetches,
+    /// Fetches that a peer refused, as it sends too much already, and those
+    /// that failed otherwise.
+    peer_fetches_refused,
+    peer_fetches_failed,
     part_crashes,
     part_rulings,
     permits_asked,
@@ -76,6 +80,8 @@
     /// placed since their reports.
     uncertain_choices,
     copies_refused,
+    /// Bytes of copies of the log that were handed to connections of peers.
+    copy_bytes_sent,
     /// Exceptions of handlers, each of which ended its connection alone.
     handler_errors,
     count_of_counters
--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -562,6 +562,7 @@
         {
             large_copies_.push_back(to);
         }
+        state_.metrics.add(relay_counter::copy_bytes_sent, copy.size());
         to->respond(200, {{"Content-Type", "application/msgpack"}}, copy);
     }
 
--- a/packages/relay/include/sapphirereel/relay/upstream_call.hpp
+++ b/packages/relay/include/sapphirereel/relay/upstream_call.hpp
@@ -42,6 +42,8 @@
     bool shows_path = false;
     /// Whether the connection was refused: no process listens at the address.
     bool is_refused = false;
+    /// Bytes of the response's body that had arrived.
+    std::size_t body_bytes = 0;
     auto operator<=>(call_failure const&) const = default;
 };
 
--- a/packages/relay/src/buffered_call.cpp
+++ b/packages/relay/src/buffered_call.cpp
@@ -40,14 +40,13 @@
              use([](buffered_call& of) { of.finish(std::move(of.answer_)); });
          },
          [use](call_failure const& why) {
-             use([&](buffered_call& of) { of.finish(tl::unexpected(why)); });
+             use([&](buffered_call& of) { of.fail(why); });
          }});
     self->timer_.expires_after(limit);
     self->timer_.async_wait([self](std::error_code error) {
         if (!error && self->call_)
         {
-            self->finish(tl::unexpected(
-                call_failure{call_stage::waiting, "no answer in time"}));
+            self->fail({call_stage::waiting, "no answer in time"});
         }
     });
     return self;
@@ -63,6 +62,12 @@
     }
 }
 
+auto buffered_call::fail(call_failure why) -> void
+{
+    why.body_bytes = answer_.body.size();
+    finish(tl::unexpected(std::move(why)));
+}
+
 auto buffered_call::cancel() -> void
 {
     done_ = {};
--- a/packages/relay/src/relay_metrics.cpp
+++ b/packages/relay/src/relay_metrics.cpp
@@ -48,6 +48,8 @@
     "peer_bytes_sent",
     "peer_reports_received",
     "peer_fetches",
+    "peer_fetches_refused",
+    "peer_fetches_failed",
     "part_crashes",
     "part_rulings",
     "permits_asked",
@@ -70,6 +72,7 @@
     "pace_waits",
     "uncertain_choices",
     "copies_refused",
+    "copy_bytes_sent",
     "handler_errors"};
 
 constexpr auto timing_names = std::array<
