--- /dev/null
+++ b/test/correctness/relay/large_configurations_arrive_over_narrow_links.cpp
@@ -0,0 +1,118 @@
+// Guards against a configuration that is in force too late, or nowhere, because
+// of its size: copies between daemons that are given up after a fixed time and
+// begun anew never arrive where links are narrow (CONFIG).
+#include "support/relay/large_configuration.hpp"
+#include "support/relay/narrow_links.hpp"
+
+#include <gtest/gtest.h>
+
+namespace sapphirereel::relay::test {
+namespace {
+
+/// A link of 10 megabits per second.
+constexpr auto narrow = 1.25e6;
+
+/// A fleet over narrow links in which only the first daemon reads versions that
+/// are published after the start.
+struct narrow_fleet
+{
+    explicit narrow_fleet(std::size_t daemons, double bytes_per_second = narrow)
+        : fleet(daemons)
+        , links(fleet, bytes_per_second)
+    {
+        fleet.add("one", "plain", free_port(fleet.loop));
+    }
+
+    auto publish(std::uint64_t version, std::string configuration) -> void
+    {
+        fleet.logs.front()->write(
+            keyed_stream::configuration, "config", std::move(configuration));
+        published = version;
+    }
+
+    [[nodiscard]] auto version_of(std::size_t daemon) const -> std::uint64_t
+    {
+        auto const& table = fleet.nodes[daemon]->state().table;
+        return table ? table->configuration().version : 0;
+    }
+
+    [[nodiscard]] auto is_in_force_everywhere() const -> bool
+    {
+        for (auto at = std::size_t{0}; at < fleet.nodes.size(); ++at)
+        {
+            if (version_of(at) != published)
+            {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    relay_fleet fleet;
+    narrow_links links;
+    std::uint64_t published = 1;
+};
+
+TEST(large_configuration, of_two_link_seconds_reaches_every_daemon)
+{
+    auto world = narrow_fleet{6};
+    ASSERT_TRUE(world.fleet.start());
+    world.publish(2, large_configuration(2, 900'000));
+    EXPECT_TRUE(
+        world.fleet.run_until([&] { return world.is_in_force_everywhere(); }));
+}
+
+TEST(large_configuration, that_takes_a_link_for_seconds_arrives)
+{
+    auto world = narrow_fleet{2, narrow / 2};
+    ASSERT_TRUE(world.fleet.start());
+    world.publish(2, large_configuration(2, 2'000'000));
+    EXPECT_TRUE(
+        world.fleet.run_until([&] { return world.is_in_force_everywhere(); }));
+}
+
+TEST(large_configuration, is_not_begun_anew_for_each_newer_version)
+{
+    auto world = narrow_fleet{4};
+    ASSERT_TRUE(world.fleet.start());
+    // Each version shares nothing with the one before it, and follows before
+    // that can have passed a link.
+    for (auto version = std::uint64_t{2}; version < 8; ++version)
+    {
+        world.publish(version, large_configuration(version, 600'000, version));
+        world.fleet.run_for(std::chrono::milliseconds{330});
+    }
+    EXPECT_GE(world.version_of(3), 2U);
+    EXPECT_TRUE(
+        world.fleet.run_until([&] { return world.is_in_force_everywhere(); }));
+}
+
+TEST(small_change, of_a_large_configuration_costs_a_small_part_of_it)
+{
+    auto world = narrow_fleet{2};
+    ASSERT_TRUE(world.fleet.start());
+    world.publish(2, large_configuration(2, 600'000));
+    ASSERT_TRUE(
+        world.fleet.run_until([&] { return world.is_in_force_everywhere(); }));
+    auto const before = world.links.link_of(1).in.passed();
+    world.publish(3, large_configuration(3, 600'000));
+    ASSERT_TRUE(
+        world.fleet.run_until([&] { return world.is_in_force_everywhere(); }));
+    EXPECT_LT(world.links.link_of(1).in.passed() - before, 150'000U);
+}
+
+TEST(evacuation, does_not_wait_behind_a_large_configuration)
+{
+    auto world = narrow_fleet{2, narrow / 4};
+    ASSERT_TRUE(world.fleet.start());
+    world.publish(2, large_configuration(2, 1'000'000));
+    world.fleet.logs.front()->write(
+        keyed_stream::configuration, "evacuate/z9", "{}");
+    auto const& known = world.fleet.nodes[1]->state().replicas.evacuated();
+    EXPECT_TRUE(world.fleet.run_until([&] { return !known.empty(); }));
+    // The link needs more than three seconds for the configuration alone.
+    EXPECT_EQ(world.version_of(1), 1U);
+}
+
+} // namespace
+} // namespace sapphirereel::relay::test
--- a/test/support/relay/relay_fleet.hpp
+++ b/test/support/relay/relay_fleet.hpp
@@ -246,7 +246,7 @@
     std::vector<std::string> lines;
     std::vector<std::unique_ptr<node_type>> nodes;
 
-private:
+    /// The address of a relay among its peers.
     static auto ip_of(std::size_t daemon) -> std::string
     {
         auto ip = process_loopback_ip();
@@ -254,6 +254,7 @@
         return ip;
     }
 
+private:
     static auto settings_of(
         std::size_t daemon, std::uint16_t callers, std::uint16_t peers)
         -> relay_settings
