Collect large configurations in pieces, from every daemon that has some

Cause: a daemon fetched a peer's copy whole and gave up after 0.8 s, with all that had arrived; only daemons with the whole copy sent it, and a newer version began everything anew. 0.86 MB need 0.69 s of such a link alone, so that two copies at once never arrived. The class: a limit of time and of number that fits one size of what is moved.

The design: large values of the configuration's stream are described by an outline, the digests (XXH3, 128 bits) of pieces of some 10 KB whose boundaries follow the content. A daemon asks for the pieces that it lacks, two requests at a time, any peer that has some, and names itself to other receivers; what has arrived is kept when a newer version comes, and is what most of that consists of. Of two versions the one that lacks fewer bytes comes first, so that none is put off for newer ones without end. Small records of the same stream, as evacuations, are applied before the pieces arrive. A sender gives copies four fifths of its link by the rate in its settings and states when to ask again; that replaces the limit of two copies, which counted a copy as sent once the kernel had it (the test shows five at once). Whole copies, as daemons of earlier versions send and ask for, go on while their bytes arrive.

It works because every step keeps what it got: the time grows with the bytes that are missing over the link, at no size is anything given up and begun anew.

The replicas' stream has values far below the size of an outline; its copies now go on while bytes arrive.

--- a/packages/relay/include/sapphirereel/relay/buffered_call.hpp
+++ b/packages/relay/include/sapphirereel/relay/buffered_call.hpp
@@ -13,6 +13,49 @@
 
 namespace sapphirereel::relay {
 
+/// How long a call may take.
+class call_limit
+{
+public:
+    /// The call ends after a time, whatever has arrived.
+    template <class Count, class Period>
+    explicit(false) call_limit(std::chrono::duration<Count, Period> whole)
+        : first_(whole)
+    {}
+
+    /// The response's body begins within a time; the call then goes on while
+    /// `min_progress_bytes` or more arrive in each span of `progress_span`.
+    static auto of_progress(duration until_response) -> call_limit
+    {
+        auto limit = call_limit{until_response};
+        limit.ends_with_progress_ = true;
+        return limit;
+    }
+
+    /// Time until the call is examined for the first time.
+    [[nodiscard]] auto first() const -> duration
+    {
+        return first_;
+    }
+
+    /// Whether a call goes on that has received `bytes` of its response's body,
+    /// and had received `before` when it was examined last.
+    [[nodiscard]] auto continues(std::size_t bytes, std::size_t before) const
+        -> bool;
+
+    auto operator<=>(call_limit const&) const = default;
+
+private:
+    duration first_;
+    bool ends_with_progress_ = false;
+};
+
+/// Time between two looks at whether a response's body still arrives, and the
+/// least that must have arrived between them: 20 KB a second, a sixtieth of a
+/// weak VM's link.
+inline constexpr auto progress_span = duration{std::chrono::milliseconds{800}};
+inline constexpr auto min_progress_bytes = std::size_t{16'384};
+
 using buffered_response = tl::expected<http::response, call_failure>;
 using buffered_response_handler = std::function<void(buffered_response)>;
 
@@ -21,27 +64,36 @@
 {
 public:
     /// Sends a request and passes its complete response, or the failure, to
-    /// `done`, at the latest after `limit`.
+    /// `done`, at the latest when `limit` is reached.
     static auto start(
         asio::io_context& loop,
         upstream_pool& pool,
         asio::ip::tcp::endpoint const& to,
         std::string bytes,
-        duration limit,
+        call_limit const& limit,
         buffered_response_handler done,
         call_options const& options = {}) -> std::shared_ptr<buffered_call>;
 
     auto cancel() -> void;
 
 private:
-    buffered_call(asio::io_context& loop, buffered_response_handler done);
+    buffered_call(
+        asio::io_context& loop,
+        call_limit const& limit,
+        buffered_response_handler done);
+
+    auto arm_timer(duration until) -> void;
+    auto examine_progress() -> void;
 
     auto finish(buffered_response answer) -> void;
     auto fail(call_failure why) -> void;
 
+    call_limit limit_;
     asio::steady_timer timer_;
     buffered_response_handler done_;
     http::response answer_;
+    /// Bytes of the response's body when the call was examined last.
+    std::size_t examined_bytes_ = 0;
     std::shared_ptr<upstream_call> call_;
 };
 
--- a/packages/relay/include/sapphirereel/relay/cluster_sync.hpp
+++ b/packages/relay/include/sapphirereel/relay/cluster_sync.hpp
@@ -5,7 +5,7 @@
 #ifndef SAPPHIREREEL_RELAY_CLUSTER_SYNC_HPP
 #define SAPPHIREREEL_RELAY_CLUSTER_SYNC_HPP
 
-#include "sapphirereel/relay/buffered_call.hpp"
+#include "sapphirereel/relay/copy_fetcher.hpp"
 #include "sapphirereel/relay/evacuation.hpp"
 #include "sapphirereel/relay/exchange.hpp"
 #include "sapphirereel/relay/lapsed_replicas.hpp"
@@ -46,25 +46,19 @@
 inline constexpr auto startup_follow_settings =
     follow_settings{duration{0}, duration{std::chrono::milliseconds{1'500}}};
 
-/// Timeout of a fetch from a peer, and the least time between two fetches.
-inline constexpr auto fetch_timeout = duration{std::chrono::milliseconds{800}};
-inline constexpr auto fetch_interval = duration{std::chrono::milliseconds{50}};
-
-/// Status of a copy that a peer does not send now.
-inline constexpr auto status_refused = 503;
-
 /// Keeps the configuration and the replicas in `relay_state` up to date.
 /// `Reader` decodes records of the log. Must outlive the loop's run.
 template <keyed_log Log, class Reader>
 class cluster_sync
 {
 public:
-    /// `notify_peers` is called when a change should be reported to peers at
-    /// once.
+    /// `library` holds the pieces of large values. `notify_peers` is called
+    /// when a change should be reported to peers at once.
     cluster_sync(
         relay_state& state,
         relay_settings const& settings,
         Log& log,
+        piece_library& library,
         std::uint64_t seed,
         std::function<void()> notify_peers)
         : state_(state)
@@ -75,6 +69,7 @@
                   settings.seeds.begin(),
                   settings.seeds.end(),
                   settings.peers.ip) != settings.seeds.end())
+        , library_(library)
         , notify_peers_(std::move(notify_peers))
         , configuration_(
               state.loop,
@@ -97,6 +92,7 @@
               },
               callbacks_of(
                   keyed_stream::replicas, [this] { replicas_changed(); }))
+        , fetcher_(state, settings.peers, library, fetcher_handlers())
         , lapsed_(settings.drain_limit)
     {
         state_.replica_announced_leaving = [this](replica const& which) {
@@ -151,7 +147,7 @@
         apply_doubt(report, now);
         apply_leaving(report, now);
         postpone_first_read();
-        fetch_if_behind(report, now);
+        fetcher_.fetch_if_behind(report, now);
         auto const [reachable, is_new] =
             peer_reaches_log_.try_emplace(report.ip, report.is_log_reachable);
         auto const before =
@@ -159,16 +155,16 @@
         return before != report.is_log_reachable;
     }
 
-    /// The encoded answer to a peer that requests this daemon's copy of a
-    /// stream or the changes to it.
-    [[nodiscard]] auto encoded_copy(copy_request const& asked) -> std::string
+    /// This daemon's copy of a stream, or the changes to it, for a peer that
+    /// requests them.
+    [[nodiscard]] auto requested_copy(copy_request const& asked) -> peer_copy
     {
         auto copy = copy_of(follower_of(asked.stream).cache(), asked.from);
         if (asked.stream == keyed_stream::configuration)
         {
             insert_configuration_in_force(copy);
         }
-        return write_copy(copy);
+        return copy;
     }
 
     /// Handles expired timers and reports a change in the log's reachability.
@@ -398,6 +394,10 @@
             state_.table ? state_.table->configuration().version : 0;
         for (auto const& record : configuration_.cache().newest())
         {
+            if (record.value && record.value->size() >= min_outlined_bytes)
+            {
+                library_.hold(*record.value);
+            }
             auto read = Reader::read_configuration(record);
             if (!read)
             {
@@ -664,103 +664,31 @@
         replicas_changed();
     }
 
-    /// Fetches a peer's copies of the streams if they are newer.
-    auto fetch_if_behind(peer_report const& report, time_point now) -> void
-    {
-        if (now < next_fetch_at_)
-        {
-            return;
-        }
-        auto const misses_configuration =
-            !fetching_.contains(keyed_stream::configuration) &&
-            report.configuration_next > configuration_.cache().next();
-        auto const misses_replicas =
-            !fetching_.contains(keyed_stream::replicas) &&
-            report.replicas_next > replicas_.cache().next();
-        if (misses_configuration)
-        {
-            fetch(report, keyed_stream::configuration);
-        }
-        if (misses_replicas)
-        {
-            fetch(report, keyed_stream::replicas);
-        }
-        if (misses_configuration || misses_replicas)
-        {
-            next_fetch_at_ = now + fetch_interval;
-        }
-    }
-
-    auto fetch(peer_report const& from, keyed_stream stream) -> void
+    auto fetcher_handlers() -> copy_fetcher::handlers
     {
-        state_.metrics.add(relay_counter::peer_fetches);
-        fetching_.insert(stream);
-        auto const began = telemetry::monotonic_now();
-        auto const to = listen_address{from.ip, own_.port}.endpoint();
-        buffered_call::start(
-            state_.loop, state_.pool, to,
-            http::write_request(
-                "GET", copy_path({stream, follower_of(stream).cache().next()}),
-                {{"Host", from.ip}}, {}),
-            fetch_timeout,
-            [this, stream, ip = from.ip,
-             began](buffered_response const& answer) {
-                fetching_.erase(stream);
-                auto const copy = answer && answer->head.status == 200
-                                      ? read_copy(answer->body)
-                                      : std::nullopt;
-                auto const took = telemetry::monotonic_now() - began;
-                if (!copy)
+        return {
+            [this](keyed_stream stream) {
+                return follower_of(stream).cache().next();
+            },
+            [this](keyed_stream stream, peer_copy const& copy) {
+                if (copy.is_snapshot)
                 {
-                    report_failed_fetch(stream, ip, answer, took);
-                    return;
+                    follower_of(stream).apply_peer_snapshot(copy.page);
                 }
-                state_.log.info(
-                    "peers", "fetched a peer's copy",
-                    {{"stream", std::string{name_of(stream)}},
-                     {"peer", ip},
-                     {"whole", copy->is_snapshot},
-                     {"bytes", answer->body.size()},
-                     {"after_ms", milliseconds_of(took)},
-                     {"era", copy->page.next.era},
-                     {"next", copy->page.next.offset}});
-                if (copy->is_snapshot)
+                else
                 {
-                    follower_of(stream).apply_peer_snapshot(copy->page);
+                    follower_of(stream).apply_peer_changes(copy.page);
                 }
-                else
+            },
+            [this](peer_copy const& copy) {
+                if (!copy.is_snapshot)
                 {
-                    follower_of(stream).apply_peer_changes(copy->page);
+                    configuration_.apply_early_changes(copy.page);
                 }
-            });
-    }
-
-    auto report_failed_fetch(
-        keyed_stream stream,
-        std::string const& ip,
-        buffered_response const& answer,
-        duration took) -> void
-    {
-        auto const is_refused = answer && answer->head.status == status_refused;
-        state_.metrics.add(
-            is_refused ? relay_counter::peer_fetches_refused
-                       : relay_counter::peer_fetches_failed);
-        state_.log.info(
-            "peers", "failed to fetch a peer's copy",
-            {{"stream", std::string{name_of(stream)}},
-             {"peer", ip},
-             {"why", is_refused ? "refused"
-                     : answer   ? "no valid copy"
-                                : answer.error().detail},
-             {"bytes",
-              answer ? answer->body.size() : answer.error().body_bytes},
-             {"after_ms", milliseconds_of(took)}});
-    }
-
-    static auto milliseconds_of(duration length) -> std::int64_t
-    {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(length)
-            .count();
+            },
+            [this] {
+                configuration_.postpone_first_read(fetch_timeout);
+            }};
     }
 
     auto follower_of(keyed_stream stream) -> log_follower<Log>&
@@ -780,18 +708,17 @@
     listen_address own_;
     zone_name zone_;
     bool is_seed_;
+    piece_library& library_;
     std::function<void()> notify_peers_;
     log_follower<Log> configuration_;
     log_follower<Log> replicas_;
+    copy_fetcher fetcher_;
     leaving_replica_set leaving_;
     lapsed_replicas lapsed_;
     std::map<std::string, entry> entries_;
     time_point started_at_{};
-    time_point next_fetch_at_{};
     /// Until when entries may be missing by the peers' reports.
     time_point peer_doubt_until_{};
-    /// Streams whose copy is being fetched from a peer.
-    std::set<keyed_stream> fetching_;
     /// The record of the configuration in force.
     std::optional<keyed_record> in_force_record_;
     /// Positions of the records of the configuration's stream that were ignored
--- a/packages/relay/include/sapphirereel/relay/log_follower.hpp
+++ b/packages/relay/include/sapphirereel/relay/log_follower.hpp
@@ -187,6 +187,17 @@
         }
     }
 
+    /// Applies records of a peer's list of changes before those of its records
+    /// that are still on their way.
+    auto apply_early_changes(keyed_page const& changes) -> void
+    {
+        if (changes.next.era == cache_.next().era &&
+            changes.next > cache_.next() && cache_.apply_early(changes.records))
+        {
+            callbacks_.changed();
+        }
+    }
+
     [[nodiscard]] auto cache() const -> record_cache const&
     {
         return cache_;
--- a/packages/relay/include/sapphirereel/relay/record_cache.hpp
+++ b/packages/relay/include/sapphirereel/relay/record_cache.hpp
@@ -51,6 +51,12 @@
     auto apply_changes(
         std::vector<keyed_record> const& records, log_position next) -> bool;
 
+    /// Applies records that lie behind `next` before those between are here.
+    /// They are among those of a later call of `apply_changes`; until then this
+    /// copy does not count as having reached them. Returns whether the copy
+    /// changed.
+    auto apply_early(std::vector<keyed_record> const& records) -> bool;
+
     /// Applies a snapshot of the newest record of every key as of `next`; a
     /// missing key has been removed. A snapshot of an earlier era is ignored.
     /// Returns whether the copy changed.
--- a/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
@@ -80,6 +80,11 @@
     /// placed since their reports.
     uncertain_choices,
     copies_refused,
+    /// Requests for pieces of large values to peers, those that a peer refused,
+    /// as its link is busy, and those that failed otherwise.
+    piece_requests,
+    piece_requests_refused,
+    piece_requests_failed,
     /// Bytes of copies of the log that were handed to connections of peers.
     copy_bytes_sent,
     /// Exceptions of handlers, each of which ended its connection alone.
--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -8,6 +8,7 @@
 #include "sapphirereel/relay/address_selection.hpp"
 #include "sapphirereel/relay/buffered_exchange.hpp"
 #include "sapphirereel/relay/cluster_sync.hpp"
+#include "sapphirereel/relay/copy_server.hpp"
 #include "sapphirereel/relay/forward_target.hpp"
 #include "sapphirereel/relay/listener.hpp"
 #include "sapphirereel/relay/peer_gossip.hpp"
@@ -86,8 +87,10 @@
               state_,
               settings_,
               log,
+              pieces_,
               seed,
               [this] { peers_.schedule_report(report_scope::all); })
+        , copies_(state_, pieces_, settings_.link_bytes_per_second)
         , reports_(
               state_,
               peers_,
@@ -532,38 +535,29 @@
                         state_.metrics.page());
                     return;
                 }
-                auto const asked = read_copy_path(request.target);
-                if (!asked)
-                {
-                    from->respond(404, {}, {});
-                    return;
-                }
-                send_copy(from, cluster_sync_.encoded_copy(*asked));
+                serve_copies(*from, request);
             }));
     }
 
-    /// Sends a copy of a log stream to a peer, or refuses it while too many
-    /// large ones are being sent: the peer then asks another daemon.
-    auto send_copy(
-        std::shared_ptr<caller_session> const& to, std::string const& copy)
+    /// Serves copies of the log's streams, and pieces of them.
+    auto serve_copies(caller_session& from, http::request const& request)
         -> void
     {
-        std::erase_if(large_copies_, [](auto const& each) {
-            auto const held = each.lock();
-            return !held || held->is_closed() || held->unsent_bytes() == 0;
-        });
-        if (!may_send_copy(copy.size(), large_copies_.size()))
+        auto const now = telemetry::monotonic_now();
+        if (auto const asked = read_piece_path(request.target))
         {
-            state_.metrics.add(relay_counter::copies_refused);
-            to->respond(503, {}, {});
+            copies_.send_pieces(from, *asked, now);
             return;
         }
-        if (copy.size() >= min_large_copy)
+        auto const asked = read_copy_path(request.target);
+        if (!asked)
         {
-            large_copies_.push_back(to);
+            from.respond(404, {}, {});
+            return;
         }
-        state_.metrics.add(relay_counter::copy_bytes_sent, copy.size());
-        to->respond(200, {{"Content-Type", "application/msgpack"}}, copy);
+        copies_.send_copy(
+            from, cluster_sync_.requested_copy(*asked),
+            http::find(request.fields, reads_outlines_field).has_value(), now);
     }
 
     // Periodic work.
@@ -736,14 +730,14 @@
     relay_settings settings_;
     relay_state state_;
     peer_gossip peers_;
+    piece_library pieces_;
     cluster_sync<Log, Reader> cluster_sync_;
+    copy_server copies_;
     report_content reports_;
     service_paths paths_;
     std::unique_ptr<listener> callers_;
     std::unique_ptr<listener> control_;
     std::list<std::weak_ptr<caller_session>> sessions_;
-    /// Connections on which large copies are being sent to peers.
-    std::vector<std::weak_ptr<caller_session>> large_copies_;
     asio::steady_timer tick_;
     asio::steady_timer stop_timer_;
     std::function<void()> on_stopped_;
--- a/packages/relay/include/sapphirereel/relay/relay_settings.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_settings.hpp
@@ -53,6 +53,8 @@
     duration drain_limit{std::chrono::seconds{2}};
     /// What cold replicas may get in any second.
     cold_bounds cold;
+    /// Rate of this daemon's link; 0 if it is not known.
+    double link_bytes_per_second = 0;
     auto operator<=>(relay_settings const&) const = default;
 };
 
--- a/packages/relay/src/buffered_call.cpp
+++ b/packages/relay/src/buffered_call.cpp
@@ -4,9 +4,19 @@
 
 namespace sapphirereel::relay {
 
+auto call_limit::continues(std::size_t bytes, std::size_t before) const -> bool
+{
+    auto const has_just_begun = before == 0 && bytes > 0;
+    return ends_with_progress_ &&
+           (has_just_begun || bytes - before >= min_progress_bytes);
+}
+
 buffered_call::buffered_call(
-    asio::io_context& loop, buffered_response_handler done)
-    : timer_(loop)
+    asio::io_context& loop,
+    call_limit const& limit,
+    buffered_response_handler done)
+    : limit_(limit)
+    , timer_(loop)
     , done_(std::move(done))
 {}
 
@@ -15,12 +25,12 @@
     upstream_pool& pool,
     asio::ip::tcp::endpoint const& to,
     std::string bytes,
-    duration limit,
+    call_limit const& limit,
     buffered_response_handler done,
     call_options const& options) -> std::shared_ptr<buffered_call>
 {
     auto self = std::shared_ptr<buffered_call>{
-        new buffered_call{loop, std::move(done)}};
+        new buffered_call{loop, limit, std::move(done)}};
     // The timer alone owns the call, because the call owns these handlers.
     auto const use = [weak = std::weak_ptr<buffered_call>{self}](auto act) {
         if (auto const held = weak.lock())
@@ -42,14 +52,30 @@
          [use](call_failure const& why) {
              use([&](buffered_call& of) { of.fail(why); });
          }});
-    self->timer_.expires_after(limit);
-    self->timer_.async_wait([self](std::error_code error) {
+    self->arm_timer(limit.first());
+    return self;
+}
+
+auto buffered_call::arm_timer(duration until) -> void
+{
+    timer_.expires_after(until);
+    timer_.async_wait([self = shared_from_this()](std::error_code error) {
         if (!error && self->call_)
         {
-            self->fail({call_stage::waiting, "no answer in time"});
+            self->examine_progress();
         }
     });
-    return self;
+}
+
+auto buffered_call::examine_progress() -> void
+{
+    auto const bytes = answer_.body.size();
+    if (limit_.continues(bytes, std::exchange(examined_bytes_, bytes)))
+    {
+        arm_timer(progress_span);
+        return;
+    }
+    fail({call_stage::waiting, "no answer in time"});
 }
 
 auto buffered_call::finish(buffered_response answer) -> void
--- a/packages/relay/src/record_cache.cpp
+++ b/packages/relay/src/record_cache.cpp
@@ -56,11 +56,30 @@
     for (auto const& each : records)
     {
         changed = apply_record(each) || changed;
+        auto const held = records_.find(each.key);
+        if (held != records_.end() && held->second.changed_at == each.position)
+        {
+            // Also if the record was applied early.
+            changed_until_ =
+                std::max(changed_until_, each.position.following());
+        }
     }
     next_ = std::max(next_, next);
     return changed;
 }
 
+auto record_cache::apply_early(std::vector<keyed_record> const& records) -> bool
+{
+    auto const reached = changed_until_;
+    auto changed = false;
+    for (auto const& each : records)
+    {
+        changed = apply_record(each) || changed;
+    }
+    changed_until_ = reached;
+    return changed;
+}
+
 auto record_cache::apply_snapshot(
     std::vector<keyed_record> const& newest, log_position next) -> bool
 {
--- a/packages/relay/src/record_transfer.cpp
+++ b/packages/relay/src/record_transfer.cpp
@@ -17,6 +17,9 @@
 constexpr auto from_query = std::string_view{"?from="};
 constexpr auto era_query = std::string_view{"&era="};
 
+/// Number of the JSON library's exception for an outline that is not valid.
+constexpr auto invalid_outline = 599;
+
 auto write_record(keyed_record const& record) -> json
 {
     auto value =
@@ -26,6 +29,48 @@
     return json::array({record.key, record.position.offset, std::move(value)});
 }
 
+auto write_record(outlined_record const& record) -> json
+{
+    auto const& outline = record.outline;
+    auto const binary = [](std::string const& bytes) {
+        return json::binary({bytes.begin(), bytes.end()});
+    };
+    auto sizes = json::array();
+    for (auto const& each : outline.pieces)
+    {
+        sizes.push_back(each.bytes);
+    }
+    return json::array(
+        {record.key, record.position.offset,
+         json::array(
+             {binary(outline.whole.raw()), binary(raw_digests(outline)),
+              std::move(sizes)})});
+}
+
+auto bytes_of(json const& from) -> std::string
+{
+    auto const& value = from.get_binary();
+    return {value.begin(), value.end()};
+}
+
+/// Throws if the outline contradicts itself.
+auto read_outlined(json const& from, std::uint64_t era) -> outlined_record
+{
+    auto const& parts = from.at(2);
+    auto outline = read_outline(
+        bytes_of(parts.at(0)), bytes_of(parts.at(1)),
+        parts.at(2).get<std::vector<std::size_t>>());
+    if (!outline)
+    {
+        throw json::other_error::create(
+            invalid_outline, "the outline contradicts itself", &from);
+    }
+    return {
+        from.at(0).get<std::string>(),
+        log_position{from.at(1).get<std::uint64_t>(), era},
+        std::move(*outline)};
+}
+
 auto read_record(json const& from, std::uint64_t era) -> keyed_record
 {
     auto record = keyed_record{
@@ -33,8 +78,7 @@
         log_position{from.at(1).get<std::uint64_t>(), era}, std::nullopt};
     if (!from.at(2).is_null())
     {
-        auto const& value = from.at(2).get_binary();
-        record.value.emplace(value.begin(), value.end());
+        record.value = bytes_of(from.at(2));
     }
     return record;
 }
@@ -109,6 +153,10 @@
     {
         records.push_back(write_record(each));
     }
+    for (auto const& each : copy.outlined)
+    {
+        records.push_back(write_record(each));
+    }
     auto bytes = std::string{};
     json::to_msgpack(
         json::array(
@@ -134,6 +182,11 @@
             parsed->at(1).get<bool>()};
         for (auto const& each : parsed->at(2))
         {
+            if (each.at(2).is_array())
+            {
+                copy.outlined.push_back(read_outlined(each, era));
+                continue;
+            }
             copy.page.records.push_back(read_record(each, era));
         }
         return copy;
@@ -144,9 +197,50 @@
     }
 }
 
-auto may_send_copy(std::size_t bytes, std::size_t pending) -> bool
+auto with_outlines(peer_copy copy, piece_library& pieces) -> peer_copy
 {
-    return bytes < min_large_copy || pending < max_large_copies;
+    auto& records = copy.page.records;
+    for (auto& each : records)
+    {
+        if (each.value && each.value->size() >= min_outlined_bytes)
+        {
+            copy.outlined.push_back(
+                {each.key, each.position, pieces.hold(*each.value)});
+        }
+    }
+    std::erase_if(records, [](keyed_record const& each) {
+        return each.value && each.value->size() >= min_outlined_bytes;
+    });
+    return copy;
+}
+
+auto missing_pieces(peer_copy const& copy, piece_library const& pieces)
+    -> std::vector<outlined_piece>
+{
+    auto all = std::vector<outlined_piece>{};
+    for (auto const& each : copy.outlined)
+    {
+        auto const missing = pieces.missing(each.outline);
+        all.insert(all.end(), missing.begin(), missing.end());
+    }
+    return all;
+}
+
+auto with_values(peer_copy copy, piece_library const& pieces)
+    -> std::optional<peer_copy>
+{
+    for (auto& each : copy.outlined)
+    {
+        auto value = pieces.value_of(each.outline);
+        if (!value)
+        {
+            return std::nullopt;
+        }
+        copy.page.records.push_back(
+            {std::move(each.key), each.position, std::move(value)});
+    }
+    copy.outlined.clear();
+    return copy;
 }
 
 } // namespace sapphirereel::relay
--- a/packages/relay/src/relay_metrics.cpp
+++ b/packages/relay/src/relay_metrics.cpp
@@ -72,6 +72,9 @@
     "pace_waits",
     "uncertain_choices",
     "copies_refused",
+    "piece_requests",
+    "piece_requests_refused",
+    "piece_requests_failed",
     "copy_bytes_sent",
     "handler_errors"};
 
--- a/test/correctness/relay/large_configurations_arrive_over_narrow_links.cpp
+++ b/test/correctness/relay/large_configurations_arrive_over_narrow_links.cpp
@@ -23,6 +23,14 @@
         fleet.add("one", "plain", free_port(fleet.loop));
     }
 
+    /// Starts the daemons and waits until they poll the log regularly.
+    auto start() -> bool
+    {
+        auto const started = fleet.start();
+        fleet.run_for(discovery_time + std::chrono::milliseconds{300});
+        return started;
+    }
+
     auto publish(std::uint64_t version, std::string configuration) -> void
     {
         fleet.logs.front()->write(
@@ -56,7 +64,7 @@
 TEST(large_configuration, of_two_link_seconds_reaches_every_daemon)
 {
     auto world = narrow_fleet{6};
-    ASSERT_TRUE(world.fleet.start());
+    ASSERT_TRUE(world.start());
     world.publish(2, large_configuration(2, 900'000));
     EXPECT_TRUE(
         world.fleet.run_until([&] { return world.is_in_force_everywhere(); }));
@@ -65,7 +73,7 @@
 TEST(large_configuration, that_takes_a_link_for_seconds_arrives)
 {
     auto world = narrow_fleet{2, narrow / 2};
-    ASSERT_TRUE(world.fleet.start());
+    ASSERT_TRUE(world.start());
     world.publish(2, large_configuration(2, 2'000'000));
     EXPECT_TRUE(
         world.fleet.run_until([&] { return world.is_in_force_everywhere(); }));
@@ -74,10 +82,10 @@
 TEST(large_configuration, is_not_begun_anew_for_each_newer_version)
 {
     auto world = narrow_fleet{4};
-    ASSERT_TRUE(world.fleet.start());
+    ASSERT_TRUE(world.start());
     // Each version shares nothing with the one before it, and follows before
     // that can have passed a link.
-    for (auto version = std::uint64_t{2}; version < 8; ++version)
+    for (auto version = std::uint64_t{2}; version < 10; ++version)
     {
         world.publish(version, large_configuration(version, 600'000, version));
         world.fleet.run_for(std::chrono::milliseconds{330});
@@ -90,7 +98,7 @@
 TEST(small_change, of_a_large_configuration_costs_a_small_part_of_it)
 {
     auto world = narrow_fleet{2};
-    ASSERT_TRUE(world.fleet.start());
+    ASSERT_TRUE(world.start());
     world.publish(2, large_configuration(2, 600'000));
     ASSERT_TRUE(
         world.fleet.run_until([&] { return world.is_in_force_everywhere(); }));
@@ -104,7 +112,7 @@
 TEST(evacuation, does_not_wait_behind_a_large_configuration)
 {
     auto world = narrow_fleet{2, narrow / 4};
-    ASSERT_TRUE(world.fleet.start());
+    ASSERT_TRUE(world.start());
     world.publish(2, large_configuration(2, 1'000'000));
     world.fleet.logs.front()->write(
         keyed_stream::configuration, "evacuate/z9", "{}");
