Read each record of the configuration's stream once

What callers saw: nothing was broken by it; an evacuation, or any other small record, cost as much processor time as the whole configuration, and an invalid record was reported at each of them. Cause: every change of the stream read all of its records again. A record is read again only if its position differs, which holds across eras of the log, too.

--- a/packages/relay/include/sapphirereel/relay/cluster_sync.hpp
+++ b/packages/relay/include/sapphirereel/relay/cluster_sync.hpp
@@ -394,6 +394,12 @@
             state_.table ? state_.table->configuration().version : 0;
         for (auto const& record : configuration_.cache().newest())
         {
+            // Reading takes time in proportion to the record's length.
+            if (std::exchange(read_records_[record.key], record.position) ==
+                record.position)
+            {
+                continue;
+            }
             if (record.value && record.value->size() >= min_outlined_bytes)
             {
                 library_.hold(*record.value);
@@ -721,8 +727,9 @@
     time_point peer_doubt_until_{};
     /// The record of the configuration in force.
     std::optional<keyed_record> in_force_record_;
-    /// Positions of the records of the configuration's stream that were ignored
-    /// because of their keys.
+    /// Positions of the records of the configuration's stream that were read,
+    /// and of those that were ignored because of their keys.
+    std::map<std::string, std::optional<log_position>> read_records_;
     std::map<std::string, std::optional<log_position>> unknown_keys_;
     bool is_primary_log_reader_ = false;
     /// Whether the first read of the log was put off.
