Bound what all buffered responses take together

One endless answer was bounded before (endless_answers_end_the_call, 8 MB a body).

The pool's calls now charge one account, a fifth of the memory in the settings (a growing buffer takes up to twice its bytes). It acts wherever responses are buffered whole through a pool: replicas' plain answers, health reports, orders, copies and pieces of peers; the store's client has its own pool with the default limit. Streams are passed on as they come and keep their bounds of 256 KB an event and of what a slow caller leaves unread. Heads were bounded before.

--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -101,6 +101,11 @@
         , stop_timer_(loop)
     {
         state_.drain_limit = settings_.drain_limit;
+        if (settings_.memory_bytes > 0)
+        {
+            state_.pool.set_buffer_limit(static_cast<std::size_t>(
+                settings_.memory_bytes * buffered_share_of_memory));
+        }
         state_.gate.set_cold_bounds(settings_.cold, settings_.peers.ip);
         state_.load_changed = [this] {
             peers_.schedule_report(report_scope::zone);
--- a/packages/relay/include/sapphirereel/relay/relay_settings.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_settings.hpp
@@ -55,6 +55,8 @@
     cold_bounds cold;
     /// Rate of this daemon's link; 0 if it is not known.
     double link_bytes_per_second = 0;
+    /// Memory of this daemon; 0 if its limit is not known.
+    double memory_bytes = 0;
     auto operator<=>(relay_settings const&) const = default;
 };
 
--- a/packages/relay/include/sapphirereel/relay/upstream_call.hpp
+++ b/packages/relay/include/sapphirereel/relay/upstream_call.hpp
@@ -6,6 +6,7 @@
 
 #include "sapphirereel/core/clock.hpp"
 #include "sapphirereel/http/response_parser.hpp"
+#include "sapphirereel/relay/buffer_account.hpp"
 #include "sapphirereel/relay/connection.hpp"
 
 #include <cstdint>
@@ -107,6 +108,10 @@
         std::function<response_use(http::response_head const&)> examine = {};
     };
 
+    upstream_call(upstream_call const&) = delete;
+    auto operator=(upstream_call const&) -> upstream_call& = delete;
+    ~upstream_call();
+
     /// Aborts the call and closes its connection.
     auto cancel() -> void;
 
@@ -142,6 +147,9 @@
     auto refuse_stated_length(http::response_head const& head, response_use use)
         -> bool;
     [[nodiscard]] auto may_share_connection() const -> bool;
+    /// Counts bytes of the body that are buffered; returns whether they may be.
+    auto charge_buffer(std::size_t bytes) -> bool;
+    auto release_buffer() -> void;
     auto complete() -> void;
     /// Fails the call for what the other side has sent.
     auto fail_response(std::string const& why) -> void;
@@ -156,6 +164,9 @@
     http::response_parser parser_;
     /// Bytes of the body that arrived.
     std::size_t body_bytes_ = 0;
+    std::shared_ptr<buffer_account> buffers_;
+    /// Bytes of the body that `buffers_` counts.
+    std::size_t buffered_bytes_ = 0;
     bool head_delivered_ = false;
     /// Whether a part of a response's head has arrived, and not all of it.
     bool has_partial_head_ = false;
@@ -196,6 +207,16 @@
         call_options const& options,
         upstream_call::handlers callbacks) -> std::shared_ptr<upstream_call>;
 
+    /// Limits the bytes of responses that all calls buffer together. Those of
+    /// responses that are passed on as they come do not count.
+    auto set_buffer_limit(std::size_t bytes) -> void;
+
+    /// Bytes of responses that calls buffer now.
+    [[nodiscard]] auto buffered_bytes() const -> std::size_t
+    {
+        return buffers_->bytes();
+    }
+
     /// Closes the idle connections to an address.
     auto close_idle(asio::ip::tcp::endpoint const& to) -> void;
 
@@ -229,6 +250,8 @@
     connector connector_;
     std::map<asio::ip::tcp::endpoint, std::deque<idle_connection>> idle_;
     std::uint64_t opened_ = 0;
+    std::shared_ptr<buffer_account> buffers_ =
+        std::make_shared<buffer_account>(default_buffered_bytes);
 };
 
 } // namespace sapphirereel::relay
--- a/packages/relay/src/upstream_call.cpp
+++ b/packages/relay/src/upstream_call.cpp
@@ -57,8 +57,33 @@
     , options_(options)
     , handlers_(std::move(callbacks))
     , parser_(options.is_head_request)
+    , buffers_(pool.buffers_)
 {}
 
+upstream_call::~upstream_call()
+{
+    release_buffer();
+}
+
+auto upstream_call::charge_buffer(std::size_t bytes) -> bool
+{
+    if (options_.max_body_bytes == unlimited_body)
+    {
+        return true;
+    }
+    if (!buffers_->charge(bytes, buffered_bytes_))
+    {
+        return false;
+    }
+    buffered_bytes_ += bytes;
+    return true;
+}
+
+auto upstream_call::release_buffer() -> void
+{
+    buffers_->release(std::exchange(buffered_bytes_, 0));
+}
+
 auto upstream_call::begin(std::shared_ptr<connection> transport) -> void
 {
     connection_ = std::move(transport);
@@ -180,6 +205,11 @@
         fail_response("the body of the answer is too long");
         return;
     }
+    if (!charge_buffer(body.size()))
+    {
+        fail_response("the bodies of all answers together are too long");
+        return;
+    }
     if (!body.empty() && handlers_.body)
     {
         handlers_.body(body);
@@ -218,6 +248,7 @@
 auto upstream_call::complete() -> void
 {
     finished_ = true;
+    release_buffer();
     auto const& head = *parser_.head();
     auto const held = std::exchange(connection_, nullptr);
     auto const reusable = may_share_connection() && head.keep_alive &&
@@ -250,6 +281,7 @@
     {
         return;
     }
+    release_buffer();
     if (auto const held = std::exchange(connection_, nullptr))
     {
         held->close();
@@ -264,6 +296,7 @@
 auto upstream_call::cancel() -> void
 {
     finished_ = true;
+    release_buffer();
     // Kept until this function returns, because the handlers may own its
     // caller.
     auto const callbacks = std::exchange(handlers_, {});
@@ -299,6 +332,11 @@
     })
 {}
 
+auto upstream_pool::set_buffer_limit(std::size_t bytes) -> void
+{
+    buffers_->set_limit(bytes);
+}
+
 auto upstream_pool::set_connector(connector connect) -> void
 {
     connector_ = std::move(connect);
