--- a/tools/soak.d/configuration.py
+++ b/tools/soak.d/configuration.py
@@ -9,14 +9,23 @@
 
 def route(name, kind, service, **more):
     return {
-        "name": name, "host": "h", "path-prefix": f"/{name}/",
+        "host": "h", "name": name, "path-prefix": f"/{name}/",
         "kind": kind, "service": service, "timeout-ms": REQUEST_TIMEOUT_MS,
         "target-latency-ms": TARGET_LATENCY_MS, **more,
     }
 
 
-def of_version(version, customers):
-    """A version, with a route that only it has; customers by key."""
+def further_routes(count):
+    """Routes that no request uses; some 170 bytes each."""
+    return [
+        route(f"further-{at}", "safe", "plain", host=f"{at * 7919:x}.example")
+        for at in range(count)
+    ]
+
+
+def of_version(version, customers, further=0):
+    """A version, with a route that only it has and so many further ones;
+    customers by key."""
     cold = {"warmup-s": COLD_S, "cold-per-s": COLD_PER_S}
     resumable = {"stream-resume": True, "max-attempts": 3}
     engine = {
@@ -32,6 +41,7 @@
             route("stream", "streaming", "engine"),
             route("resume", "streaming", "engine", **resumable),
             route(f"v{version}", "safe", "plain"),
+            *further_routes(further),
         ],
         "services": [
             {"name": "plain", **cold},
--- a/tools/soak.d/daemons.py
+++ b/tools/soak.d/daemons.py
@@ -14,6 +14,10 @@
 GRACE_S = 8
 # For how long a replica that leaves goes on to serve.
 DRAIN_MS = 1_500
+# The link of a weak VM: copies for peers keep to it, and the way to the store
+# carries no more.
+LINK_MBPS = 10
+BYTES_PER_MEGABIT = 125_000
 
 
 @dataclass(frozen=True)
@@ -28,7 +32,7 @@
     def __init__(self, build, folder, ip, zone, seeds):
         self.name = f"entry-{ip}"
         self.ip = ip
-        self.proxy = Proxy()
+        self.proxy = Proxy(LINK_MBPS * BYTES_PER_MEGABIT)
         self.process = None
         # When it was last disturbed, on the monotonic clock.
         self.disturbed_at = time.monotonic()
@@ -73,7 +77,7 @@
             "platform.address": self.proxy.address,
             "bounds.retry-budget-ratio": 0.2, "bounds.budget-slack": 60,
             "bounds.budget-window-s": 10, "bounds.grace-s": GRACE_S,
-            "bounds.drain-ms": DRAIN_MS,
+            "bounds.drain-ms": DRAIN_MS, "limits.link-mbps": LINK_MBPS,
         }
         path = os.path.join(self._folder, f"{self.name}.boot")
         with open(path, "w") as file:
--- a/tools/soak.d/proxy.py
+++ b/tools/soak.d/proxy.py
@@ -1,12 +1,17 @@
-"""A loopback proxy that delays, resets, or silences one direction."""
+"""A loopback proxy that carries a number of bytes a second, and that delays,
+resets, or silences one direction."""
 
 import asyncio
+import time
 
 from spans import Spans
 
 
 class Proxy:
-    def __init__(self):
+    def __init__(self, bytes_per_second=None):
+        self._bytes_per_second = bytes_per_second
+        # When each direction has carried what it took.
+        self._free_at = {}
         self.disturbances = Spans()
         self._mode = "open"
         self.address = None
@@ -57,9 +62,19 @@
             for each in ends:
                 each.close()
 
+    async def _carry(self, size, direction):
+        """Waits until a direction has carried some bytes, one after another."""
+        if self._bytes_per_second is None:
+            return
+        now = time.monotonic()
+        free_at = max(now, self._free_at.get(direction, now))
+        self._free_at[direction] = free_at + size / self._bytes_per_second
+        await asyncio.sleep(self._free_at[direction] - now)
+
     async def _pass(self, reader, writer, silenced_by):
         try:
-            while part := await reader.read(65_536):
+            while part := await reader.read(16_384):
+                await self._carry(len(part), silenced_by)
                 if self.mode == "delay":
                     await asyncio.sleep(0.08)
                 while self.mode in ("cut", silenced_by):
--- a/tools/soak.d/soak.py
+++ b/tools/soak.d/soak.py
@@ -38,6 +38,11 @@
 ENTRY_LIFE_S = 3.0
 # How often another writer adds entries, which are large.
 MOST_ODD_ENTRIES = 3
+# Routes that a large configuration has beside the others: up to a megabyte.
+FURTHER_ROUTES = (1_000, 3_000, 6_000)
+# Changes of a large configuration, the next before the last is everywhere.
+CHANGES_OF_LARGE = 3
+LONGEST_PAUSE_OF_CHANGES_S = 0.7
 # Time without a disturbance from which a daemon's promises with a bound hold.
 CALM_S = 4.0
 CUSTOMERS = {f"key-{number}": f"customer-{number}" for number in range(40)}
@@ -65,6 +70,7 @@
         self.store_turn = asyncio.Lock()
         self.lags = Spans()
         self.version = 0
+        self.further_routes = 0
         self.customers = dict(CUSTOMERS)
         self.pending = set()
         # Addresses of this soak alone, so that two never meet.
@@ -124,7 +130,9 @@
     async def publish(self):
         """Writes a next version."""
         self.version += 1
-        whole = configuration.of_version(self.version, self.customers)
+        whole = configuration.of_version(
+            self.version, self.customers, self.further_routes
+        )
         await self.store.write(platform.CONFIGURATION, "config", whole)
         return self.version
 
@@ -240,6 +248,15 @@
                 late = f"has no version {version} {bound_s} s after it was accepted"
                 self.findings.append(daemon.finding(late))
 
+    async def grow(self):
+        """Publishes a large configuration and changes of it in succession, the
+        last of which each calm daemon must have in time."""
+        self.further_routes = self.random.choice(FURTHER_ROUTES)
+        for _ in range(CHANGES_OF_LARGE):
+            await self.publish()
+            await asyncio.sleep(self.random.uniform(0, LONGEST_PAUSE_OF_CHANGES_S))
+        await self.change()
+
     def next_fault(self):
         daemon = self.random.choice(self.daemons)
         replica = self.random.choice(self.replicas)
@@ -251,6 +268,7 @@
             ("leave", replica.id, lambda: self.leave(replica)),
             ("turn cold", replica.id, lambda: faults.turn_cold(replica)),
             ("change", "", self.change),
+            ("grow", "", self.grow),
         ]
         # Each outage has its own return, after which the store is stable.
         if not self.store_turn.locked():
