--- a/packages/relay/src/piece_library.cpp
+++ b/packages/relay/src/piece_library.cpp
@@ -14,7 +14,7 @@
             return outline;
         }
     }
-    auto const outline = outline_of(value);
+    auto outline = outline_of(value);
     expect(outline);
     for (auto const piece : cut_into_pieces(value))
     {
