Tests of large configurations: the link decides, not the processor

Under the thread sanitizer 'is_not_begun_anew_for_each_newer_version' failed once in one run (load 14): six daemons of one process read versions of 600 KB on one core, and none had a version in force after 2.6 s. The trace is the time of the others in that run, 9 and 11 s where the plain build needs 4 to 6. Links and configurations are now shorter by the same factor, so that each copy takes its link as long as before (0.5 to 3.2 s) and the processor a third. That test now publishes a version each 0.33 s for 8 s, the time that all of these tests allow, in place of 2.6 s, until one is in force; the bound of the small change keeps its ratio of a quarter.

--- a/test/correctness/relay/large_configurations_arrive_over_narrow_links.cpp
+++ b/test/correctness/relay/large_configurations_arrive_over_narrow_links.cpp
@@ -9,8 +9,11 @@
 namespace sapphirereel::relay::test {
 namespace {
 
-/// A link of 10 megabits per second.
-constexpr auto narrow = 1.25e6;
+/// A link of 3.3 megabits per second. It is narrower than a weak VM's, and the
+/// configurations are shorter by as much, so that the processor time of all
+/// daemons of the test's process together, also under a sanitizer, does not
+/// decide the outcome.
+constexpr auto narrow = 0.417e6;
 
 /// A fleet over narrow links in which only the first daemon reads versions that
 /// are published after the start.
@@ -65,29 +68,34 @@
 {
     auto world = narrow_fleet{6};
     ASSERT_TRUE(world.start());
-    world.publish(2, large_configuration(2, 900'000));
+    world.publish(2, large_configuration(2, 300'000));
     EXPECT_TRUE(
         world.fleet.run_until([&] { return world.is_in_force_everywhere(); }));
 }
 
 TEST(large_configuration, that_takes_a_link_for_seconds_arrives)
 {
-    auto world = narrow_fleet{2, narrow / 2};
+    auto world = narrow_fleet{2, narrow / 3};
     ASSERT_TRUE(world.start());
-    world.publish(2, large_configuration(2, 2'000'000));
+    world.publish(2, large_configuration(2, 440'000));
     EXPECT_TRUE(
         world.fleet.run_until([&] { return world.is_in_force_everywhere(); }));
 }
 
+/// Versions that follow each other 0.33 s apart, over 8 seconds.
+constexpr auto max_versions = std::uint64_t{25};
+
 TEST(large_configuration, is_not_begun_anew_for_each_newer_version)
 {
     auto world = narrow_fleet{4};
     ASSERT_TRUE(world.start());
     // Each version shares nothing with the one before it, and follows before
     // that can have passed a link.
-    for (auto version = std::uint64_t{2}; version < 10; ++version)
+    auto version = std::uint64_t{1};
+    while (world.version_of(3) == 1 && version < max_versions)
     {
-        world.publish(version, large_configuration(version, 600'000, version));
+        ++version;
+        world.publish(version, large_configuration(version, 200'000, version));
         world.fleet.run_for(std::chrono::milliseconds{330});
     }
     EXPECT_GE(world.version_of(3), 2U);
@@ -99,21 +107,21 @@
 {
     auto world = narrow_fleet{2};
     ASSERT_TRUE(world.start());
-    world.publish(2, large_configuration(2, 600'000));
+    world.publish(2, large_configuration(2, 200'000));
     ASSERT_TRUE(
         world.fleet.run_until([&] { return world.is_in_force_everywhere(); }));
     auto const before = world.links.link_of(1).in.passed();
-    world.publish(3, large_configuration(3, 600'000));
+    world.publish(3, large_configuration(3, 200'000));
     ASSERT_TRUE(
         world.fleet.run_until([&] { return world.is_in_force_everywhere(); }));
-    EXPECT_LT(world.links.link_of(1).in.passed() - before, 150'000U);
+    EXPECT_LT(world.links.link_of(1).in.passed() - before, 50'000U);
 }
 
 TEST(evacuation, does_not_wait_behind_a_large_configuration)
 {
-    auto world = narrow_fleet{2, narrow / 4};
+    auto world = narrow_fleet{2, narrow / 5};
     ASSERT_TRUE(world.start());
-    world.publish(2, large_configuration(2, 1'000'000));
+    world.publish(2, large_configuration(2, 270'000));
     world.fleet.logs.front()->write(
         keyed_stream::configuration, "evacuate/z9", "{}");
     auto const& known = world.fleet.nodes[1]->state().replicas.evacuated();
