--- a/packages/relay/src/piece_transfer.cpp
+++ b/packages/relay/src/piece_transfer.cpp
@@ -182,7 +182,7 @@
     if (answer->head.status != 200)
     {
         state_->metrics.add(relay_counter::piece_requests_refused);
-        // Spread, as all that were refused are told nearly the same time.
+        // Spread, as all that were refused got nearly the same time.
         auto spread = std::uniform_real_distribution<double>{1.0, 2.0};
         sources_.finish(
             ip, now + std::chrono::duration_cast<duration>(
