Log which connection carried a refusal, and keep lines of retried requests

And no line tells whether two refusals came over one connection, which is what separates the hypotheses.

Usual steps of requests (sent, answered, as long as no attempt has failed) now leave half of the saved-up bytes to the other lines. A rejection, and a response that need not be about the request, name their connection by its number in the pool. No decision changes.

--- a/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
@@ -180,18 +180,17 @@
         exchange_.record_path_attempt(sent_at_);
         exchange_.state.replicas.add(target_.id, one_request);
         is_counted_ = true;
-        exchange_.state.log.request(
-            exchange_.request.id, "sent",
-            {{"replica", target_.id},
-             {"service", exchange_.service},
-             {"route", exchange_.granted.route->name},
-             {"configuration",
-              exchange_.granted.table->configuration().version},
-             {"score", chosen.score},
-             {"candidates", chosen.candidates},
-             {"unseen", chosen.unseen_requests},
-             {"attempt", exchange_.sends + 1},
-             {"left", left}});
+        exchange_.log_step(
+            "sent", {{"replica", target_.id},
+                     {"service", exchange_.service},
+                     {"route", exchange_.granted.route->name},
+                     {"configuration",
+                      exchange_.granted.table->configuration().version},
+                     {"score", chosen.score},
+                     {"candidates", chosen.candidates},
+                     {"unseen", chosen.unseen_requests},
+                     {"attempt", exchange_.sends + 1},
+                     {"left", left}});
         head_.reset();
         body_.clear();
         proof_ = response_proof::nothing;
@@ -225,8 +224,7 @@
     {
         has_replica_responded_ = true;
         proof_ = exchange_.examine(
-            target_, head, Format::read_response(head),
-            call_->may_carry_other_responses());
+            target_, head, Format::read_response(head), *call_);
         return use_of(proof_);
     }
 
@@ -400,12 +398,11 @@
         exchange_.state.metrics.add(relay_counter::answers);
         exchange_.state.metrics.observe(
             relay_timing::answer, now - exchange_.started_at);
-        exchange_.state.log.request(
-            exchange_.request.id, "answered",
-            {{"replica", target_.id},
-             {"status", answer.head.status},
-             {"bytes", answer.body.size()},
-             {"after", now - exchange_.started_at}});
+        exchange_.log_step(
+            "answered", {{"replica", target_.id},
+                         {"status", answer.head.status},
+                         {"bytes", answer.body.size()},
+                         {"after", now - exchange_.started_at}});
         auto fields = Format::response_fields(answer.head);
         auto const needs_head_only = exchange_.request.method == "HEAD";
         exchange_.caller->respond(
--- a/packages/relay/include/sapphirereel/relay/exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/exchange.hpp
@@ -137,13 +137,19 @@
         replica const& at,
         http::response_head const& head,
         replica_response const& response,
-        bool may_be_about_another) -> response_proof;
+        upstream_call const& call) -> response_proof;
 
     /// The refusal and the error status with which an interruption ends this
     /// request.
     [[nodiscard]] auto outcome_of(interruption why) const
         -> interruption_outcome;
 
+    /// Logs a step of the request: as a usual one until an attempt has failed
+    /// or been rejected.
+    auto log_step(
+        std::string_view message, std::vector<telemetry::log_field> fields)
+        -> void;
+
     /// Records that the request goes to a replica of the service, that one has
     /// sent something, or that the attempt at one failed without that.
     auto record_path_attempt(time_point now) -> void;
@@ -259,14 +265,14 @@
         replica const& at,
         http::response_head const& head,
         replica_response const& response,
-        bool may_be_about_another) -> void;
+        upstream_call const& call) -> void;
 
     /// Logs that a replica states that it has not executed the request.
     auto log_rejection(
         replica const& at,
         http::response_head const& head,
         replica_response const& response,
-        bool may_be_about_another) -> void;
+        upstream_call const& call) -> void;
 
     /// Whether a peer may take the request.
     [[nodiscard]] auto may_forward(time_point now) const -> bool;
--- a/packages/relay/include/sapphirereel/relay/process_log.hpp
+++ b/packages/relay/include/sapphirereel/relay/process_log.hpp
@@ -44,6 +44,13 @@
         std::string_view message,
         std::vector<telemetry::log_field> fields = {}) -> void;
 
+    /// Logs a usual step of a request. Such lines leave half of what is saved
+    /// up to the others, so that they do not crowd out what went wrong.
+    auto request_step(
+        std::string_view id,
+        std::string_view message,
+        std::vector<telemetry::log_field> fields = {}) -> void;
+
     /// Number of lines dropped so far.
     [[nodiscard]] auto dropped() const -> std::uint64_t
     {
@@ -51,7 +58,8 @@
     }
 
 private:
-    auto write(telemetry::log_line line) -> void;
+    /// Drops the line if no more than `reserved_bytes` are available.
+    auto write(telemetry::log_line line, double reserved_bytes = 0) -> void;
     auto refill(time_point now) -> void;
 
     log_sink sink_;
--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -309,25 +309,24 @@
     auto log_sent(placement const& chosen, dispatch_estimate const& estimate)
         -> void
     {
-        exchange_.state.log.request(
-            exchange_.request.id, "sent",
-            {{"replica", chosen.target.id},
-             {"service", exchange_.service},
-             {"route", exchange_.granted.route->name},
-             {"configuration",
-              exchange_.granted.table->configuration().version},
-             {"score", chosen.score},
-             {"memory_share", chosen.memory_share},
-             {"candidates", chosen.candidates},
-             {"unseen", chosen.unseen_requests},
-             {"prompt_tokens", demand_.prompt_tokens()},
-             {"expected_tokens", demand_.expected_output()},
-             {"attempt", exchange_.sends + 1},
-             {"unread_tokens", chosen.pending_prefill_tokens},
-             {"expected_start", estimate.expected_start},
-             {"waited", estimate.waited},
-             {"left",
-              exchange_.remaining(exchange_.waiting_since + estimate.waited)}});
+        exchange_.log_step(
+            "sent", {{"replica", chosen.target.id},
+                     {"service", exchange_.service},
+                     {"route", exchange_.granted.route->name},
+                     {"configuration",
+                      exchange_.granted.table->configuration().version},
+                     {"score", chosen.score},
+                     {"memory_share", chosen.memory_share},
+                     {"candidates", chosen.candidates},
+                     {"unseen", chosen.unseen_requests},
+                     {"prompt_tokens", demand_.prompt_tokens()},
+                     {"expected_tokens", demand_.expected_output()},
+                     {"attempt", exchange_.sends + 1},
+                     {"unread_tokens", chosen.pending_prefill_tokens},
+                     {"expected_start", estimate.expected_start},
+                     {"waited", estimate.waited},
+                     {"left", exchange_.remaining(
+                                  exchange_.waiting_since + estimate.waited)}});
     }
 
     /// Sends the request, or its continuation, to a replica.
@@ -503,8 +502,7 @@
     {
         has_replica_responded_ = true;
         proof_ = exchange_.examine(
-            target_, head, Format::read_response(head),
-            call_->may_carry_other_responses());
+            target_, head, Format::read_response(head), *call_);
         return use_of(proof_);
     }
 
@@ -764,11 +762,10 @@
     {
         end(now);
         exchange_.state.metrics.add(relay_counter::answers);
-        exchange_.state.log.request(
-            exchange_.request.id, "answered",
-            {{"replica", target_.id},
-             {"status", failure.head.status},
-             {"after", now - exchange_.started_at}});
+        exchange_.log_step(
+            "answered", {{"replica", target_.id},
+                         {"status", failure.head.status},
+                         {"after", now - exchange_.started_at}});
         exchange_.caller->respond(
             failure.head.status, Format::response_fields(failure.head),
             failure.body);
@@ -872,14 +869,13 @@
         exchange_.state.metrics.add(relay_counter::answers);
         exchange_.state.metrics.observe(
             relay_timing::answer, now - exchange_.started_at);
-        exchange_.state.log.request(
-            exchange_.request.id, "answered",
-            {{"replica", target_.id},
-             {"status", head_->status},
-             {"events", events_.count()},
-             {"first_event_after", events_.time_to_first()},
-             {"longest_pause", events_.longest_pause()},
-             {"after", now - exchange_.started_at}});
+        exchange_.log_step(
+            "answered", {{"replica", target_.id},
+                         {"status", head_->status},
+                         {"events", events_.count()},
+                         {"first_event_after", events_.time_to_first()},
+                         {"longest_pause", events_.longest_pause()},
+                         {"after", now - exchange_.started_at}});
         if (!events_.has_begun())
         {
             exchange_.caller->begin_stream(
--- a/packages/relay/include/sapphirereel/relay/upstream_call.hpp
+++ b/packages/relay/include/sapphirereel/relay/upstream_call.hpp
@@ -14,6 +14,7 @@
 #include <limits>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace sapphirereel::relay {
@@ -90,6 +91,14 @@
     auto operator<=>(call_options const&) const = default;
 };
 
+/// An established connection of a pool.
+struct pooled_connection
+{
+    std::shared_ptr<connection> transport;
+    /// Number among the connections of the pool, from 1 on.
+    std::uint64_t number = 0;
+};
+
 class upstream_pool;
 
 /// One call. Handlers run on the event loop; none runs after `cancel`, after
@@ -126,6 +135,13 @@
         return is_on_kept_connection_ || discarded_responses_ > 0;
     }
 
+    /// Number of the call's connection among those of its pool, from 1 on; 0
+    /// until the connection is established.
+    [[nodiscard]] auto connection_number() const -> std::uint64_t
+    {
+        return connection_number_;
+    }
+
 private:
     friend class upstream_pool;
 
@@ -136,7 +152,7 @@
         call_options const& options,
         handlers callbacks);
 
-    auto begin(std::shared_ptr<connection> transport) -> void;
+    auto begin(pooled_connection transport) -> void;
     auto receive(std::string_view bytes) -> void;
     auto end(connection_end how) -> void;
     auto take_head() -> void;
@@ -161,6 +177,7 @@
     call_options options_;
     handlers handlers_;
     std::shared_ptr<connection> connection_;
+    std::uint64_t connection_number_ = 0;
     http::response_parser parser_;
     /// Bytes of the body that arrived.
     std::size_t body_bytes_ = 0;
@@ -234,16 +251,16 @@
 
     struct idle_connection
     {
-        std::shared_ptr<connection> held;
+        pooled_connection held;
         time_point since;
         duration limit;
     };
 
     auto take_idle(asio::ip::tcp::endpoint const& to, duration max_idle)
-        -> std::shared_ptr<connection>;
+        -> std::optional<pooled_connection>;
     auto return_connection(
         asio::ip::tcp::endpoint const& to,
-        std::shared_ptr<connection> const& held,
+        pooled_connection held,
         http::response_head const& head) -> void;
 
     asio::io_context& loop_;
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -233,16 +233,17 @@
     replica const& at,
     http::response_head const& head,
     replica_response const& response,
-    bool may_be_about_another) -> response_proof
+    upstream_call const& call) -> response_proof
 {
     record_path_response();
-    record_subject(at, head, response, may_be_about_another);
+    record_subject(at, head, response, call);
     auto const proof = proof_of(
-        head.status, response, {request.id, at.id, may_be_about_another});
+        head.status, response,
+        {request.id, at.id, call.may_carry_other_responses()});
     has_stale_response_ = has_stale_response_ || proof == response_proof::stale;
     if (proof == response_proof::not_executed)
     {
-        log_rejection(at, head, response, may_be_about_another);
+        log_rejection(at, head, response, call);
     }
     return proof;
 }
@@ -251,12 +252,12 @@
     replica const& at,
     http::response_head const& head,
     replica_response const& response,
-    bool may_be_about_another) -> void
+    upstream_call const& call) -> void
 {
     auto const subject = subject_of(response, request.id);
-    auto const is_doubtful =
-        subject == response_subject::another_request ||
-        (subject == response_subject::unnamed && may_be_about_another);
+    auto const is_doubtful = subject == response_subject::another_request ||
+                             (subject == response_subject::unnamed &&
+                              call.may_carry_other_responses());
     if (!is_doubtful)
     {
         return;
@@ -272,21 +273,34 @@
          {"names", std::string{name_of(subject)}},
          {"named_request", response.request_id},
          {"not_executed", response.not_run},
-         {"kept_connection", may_be_about_another}});
+         {"kept_connection", call.may_carry_other_responses()},
+         {"connection", call.connection_number()}});
 }
 
 auto exchange::log_rejection(
     replica const& at,
     http::response_head const& head,
     replica_response const& response,
-    bool may_be_about_another) -> void
+    upstream_call const& call) -> void
 {
     state.log.request(
         request.id, "rejected by the replica",
         {{"replica", at.id},
          {"status", head.status},
          {"names", std::string{name_of(subject_of(response, request.id))}},
-         {"kept_connection", may_be_about_another}});
+         {"kept_connection", call.may_carry_other_responses()},
+         {"connection", call.connection_number()}});
+}
+
+auto exchange::log_step(
+    std::string_view message, std::vector<telemetry::log_field> fields) -> void
+{
+    if (excluded.empty())
+    {
+        state.log.request_step(request.id, message, std::move(fields));
+        return;
+    }
+    state.log.request(request.id, message, std::move(fields));
 }
 
 auto exchange::record_path_attempt(time_point now) -> void
--- a/packages/relay/src/process_log.cpp
+++ b/packages/relay/src/process_log.cpp
@@ -14,6 +14,24 @@
 constexpr auto max_bytes_per_second = 48'000.0;
 constexpr auto max_burst_bytes = 192'000.0;
 
+/// Bytes of the burst that usual steps of requests leave to other lines.
+constexpr auto reserved_burst_bytes = max_burst_bytes / 2;
+
+auto request_line(
+    std::string_view id,
+    std::string_view message,
+    std::vector<telemetry::log_field> fields) -> telemetry::log_line
+{
+    return {
+        telemetry::civil_now(),
+        telemetry::log_level::info,
+        "request",
+        std::string{message},
+        request_name{std::string{id}},
+        std::move(fields),
+        0};
+}
+
 } // namespace
 
 auto write_to_standard_output(std::string_view line) -> bool
@@ -63,10 +81,15 @@
     std::string_view message,
     std::vector<telemetry::log_field> fields) -> void
 {
-    write(
-        {telemetry::civil_now(), telemetry::log_level::info, "request",
-         std::string{message}, request_name{std::string{id}}, std::move(fields),
-         0});
+    write(request_line(id, message, std::move(fields)));
+}
+
+auto process_log::request_step(
+    std::string_view id,
+    std::string_view message,
+    std::vector<telemetry::log_field> fields) -> void
+{
+    write(request_line(id, message, std::move(fields)), reserved_burst_bytes);
 }
 
 auto process_log::refill(time_point now) -> void
@@ -79,10 +102,10 @@
     refilled_at_ = now;
 }
 
-auto process_log::write(telemetry::log_line line) -> void
+auto process_log::write(telemetry::log_line line, double reserved_bytes) -> void
 {
     refill(telemetry::monotonic_now());
-    if (available_bytes_ <= 0)
+    if (available_bytes_ <= reserved_bytes)
     {
         ++dropped_;
         ++unreported_;
--- a/packages/relay/src/upstream_call.cpp
+++ b/packages/relay/src/upstream_call.cpp
@@ -84,9 +84,10 @@
     buffers_->release(std::exchange(buffered_bytes_, 0));
 }
 
-auto upstream_call::begin(std::shared_ptr<connection> transport) -> void
+auto upstream_call::begin(pooled_connection transport) -> void
 {
-    connection_ = std::move(transport);
+    connection_ = std::move(transport.transport);
+    connection_number_ = transport.number;
     auto const self = shared_from_this();
     connection_->set_handlers(
         {[self](std::string_view bytes) { self->receive(bytes); },
@@ -257,7 +258,7 @@
                           held->unsent_bytes() == 0;
     if (reusable)
     {
-        pool_->return_connection(to_, held, head);
+        pool_->return_connection(to_, {held, connection_number_}, head);
     }
     else
     {
@@ -360,16 +361,16 @@
     auto call = std::shared_ptr<upstream_call>{new upstream_call{
         *this, to, std::move(bytes), options, std::move(callbacks)}};
     auto held = call->may_share_connection() ? take_idle(to, options.max_idle)
-                                             : nullptr;
+                                             : std::nullopt;
     if (held)
     {
         call->is_on_kept_connection_ = true;
         // Posted to the event loop, so that no handler runs before the caller
         // holds the call.
-        asio::post(loop_, [call, held = std::move(held)] {
+        asio::post(loop_, [call, held = *held] {
             if (call->finished_)
             {
-                held->close();
+                held.transport->close();
                 return;
             }
             call->begin(held);
@@ -378,7 +379,8 @@
     }
     connect(
         to, options.connect_timeout,
-        [call](std::shared_ptr<connection> made, std::error_code error) {
+        [call, number = opened_ + 1](
+            std::shared_ptr<connection> made, std::error_code error) {
             if (call->finished_)
             {
                 if (made)
@@ -394,19 +396,19 @@
                      error == asio::error::connection_refused});
                 return;
             }
-            call->begin(std::move(made));
+            call->begin({std::move(made), number});
         });
     return call;
 }
 
 auto upstream_pool::take_idle(
     asio::ip::tcp::endpoint const& to, duration max_idle)
-    -> std::shared_ptr<connection>
+    -> std::optional<pooled_connection>
 {
     auto const found = idle_.find(to);
     if (found == idle_.end())
     {
-        return nullptr;
+        return std::nullopt;
     }
     auto& waiting = found->second;
     auto const now = telemetry::monotonic_now();
@@ -416,32 +418,33 @@
         auto const last = std::move(waiting.back());
         waiting.pop_back();
         auto const idle = now - last.since;
-        auto const usable = last.held->is_open() && idle <= max_idle &&
-                            idle <= last.limit && !last.held->has_input();
+        auto const usable = last.held.transport->is_open() &&
+                            idle <= max_idle && idle <= last.limit &&
+                            !last.held.transport->has_input();
         if (usable)
         {
             return last.held;
         }
-        last.held->close();
+        last.held.transport->close();
     }
-    return nullptr;
+    return std::nullopt;
 }
 
 auto upstream_pool::return_connection(
     asio::ip::tcp::endpoint const& to,
-    std::shared_ptr<connection> const& held,
+    pooled_connection held,
     http::response_head const& head) -> void
 {
     auto& waiting = idle_[to];
     if (waiting.size() >= max_idle_connections)
     {
-        held->close();
+        held.transport->close();
         return;
     }
     // Bytes that arrive on an idle connection belong to no request, so the
     // connection is closed.
-    auto const weak = std::weak_ptr<connection>{held};
-    held->set_handlers(
+    auto const weak = std::weak_ptr<connection>{held.transport};
+    held.transport->set_handlers(
         {[weak](std::string_view) {
              if (auto const open = weak.lock())
              {
@@ -451,7 +454,7 @@
          [](connection_end) {},
          {}});
     waiting.push_back(
-        {held, telemetry::monotonic_now(), keep_alive_limit(head)});
+        {std::move(held), telemetry::monotonic_now(), keep_alive_limit(head)});
 }
 
 auto upstream_pool::close_idle(asio::ip::tcp::endpoint const& to) -> void
@@ -463,7 +466,7 @@
     }
     for (auto const& each : found->second)
     {
-        each.held->close();
+        each.held.transport->close();
     }
     idle_.erase(found);
 }
@@ -473,11 +476,11 @@
     for (auto& [to, waiting] : idle_)
     {
         std::erase_if(waiting, [&](idle_connection const& each) {
-            auto const done =
-                !each.held->is_open() || now - each.since > each.limit;
+            auto const done = !each.held.transport->is_open() ||
+                              now - each.since > each.limit;
             if (done)
             {
-                each.held->close();
+                each.held.transport->close();
             }
             return done;
         });
--- a/test/correctness/relay/process_log_is_rate_limited.cpp
+++ b/test/correctness/relay/process_log_is_rate_limited.cpp
@@ -36,6 +36,24 @@
     EXPECT_LT(bytes, 600'000U);
 }
 
+// Usual steps of many requests crowd out the lines about the one that went
+// wrong, which then can't be traced.
+TEST(process_log, usual_steps_leave_room_for_what_went_wrong)
+{
+    auto last = std::string{};
+    auto log = process_log{[&](std::string_view line) {
+        last = std::string{line};
+        return true;
+    }};
+    for (auto at = 0; at < 20'000; ++at)
+    {
+        log.request_step("usual", "sent");
+    }
+    EXPECT_GT(log.dropped(), 0U);
+    log.request("r1", "rejected by the replica");
+    EXPECT_EQ(nlohmann::json::parse(last)["request"], "r1");
+}
+
 TEST(process_log, reports_the_number_of_lines_not_written)
 {
     auto is_full = true;
