A request never returns to a connection that it was refused on

Cause: a replica that has returned with another id is listed twice at one address. The exchange leaves replicas out by id, the pool keeps connections by address, so that after a 421 for the earlier id the request came to the later one on the connection that had just been given back. The replica ran it and wrote the refusal once more; the copy names the request and was believed. The class: a response is tied to a request by an id that is not unique to the attempt.

Now a connection remembers the requests that were refused, or failed, on it (64 at most, after which it is closed), and the pool never gives it to one of them: the request takes another connection or opens one. On a connection that has not carried it, a refusal that names it is certain, so that refusals still permit a retry. That holds for each call that names a request: plain ones, streams, their continuations and forwarded ones, of all exchanges of the process. Orders have a connection of their own.

--- a/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
@@ -197,6 +197,7 @@
         has_replica_responded_ = false;
         auto options = call_options{};
         options.is_head_request = exchange_.request.method == "HEAD";
+        options.request_id = exchange_.request.id;
         if (!is_idempotent())
         {
             options.max_idle = max_idle_for_single_run;
--- a/packages/relay/include/sapphirereel/relay/forwarded_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/forwarded_exchange.hpp
@@ -159,6 +159,7 @@
         exchange_.runs += permitted_attempts_;
         auto options = call_options{};
         options.is_head_request = exchange_.request.method == "HEAD";
+        options.request_id = exchange_.request.id;
         options.max_idle = max_idle_for_single_run;
         options.max_body_bytes = unlimited_body;
         auto const self = this->shared_from_this();
--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -382,9 +382,10 @@
              }});
     }
 
-    static auto stream_call_options() -> call_options
+    [[nodiscard]] auto stream_call_options() const -> call_options
     {
         auto options = call_options{};
+        options.request_id = exchange_.request.id;
         options.max_body_bytes = unlimited_body;
         return options;
     }
--- a/packages/relay/include/sapphirereel/relay/upstream_call.hpp
+++ b/packages/relay/include/sapphirereel/relay/upstream_call.hpp
@@ -8,6 +8,7 @@
 #include "sapphirereel/http/response_parser.hpp"
 #include "sapphirereel/relay/buffer_account.hpp"
 #include "sapphirereel/relay/connection.hpp"
+#include "sapphirereel/relay/failed_requests.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -86,6 +87,9 @@
     /// Whether the call has a connection of its own, as its response does not
     /// name its request.
     bool has_own_connection = false;
+    /// Id of the request, which responses to it bear; empty if they bear none.
+    /// The call has a connection on which that request has not been refused.
+    std::string request_id = {};
     /// Largest body of the response, in bytes; a longer one fails the call.
     std::size_t max_body_bytes = default_max_body_bytes;
     auto operator<=>(call_options const&) const = default;
@@ -97,6 +101,7 @@
     std::shared_ptr<connection> transport;
     /// Number among the connections of the pool, from 1 on.
     std::uint64_t number = 0;
+    failed_requests failed = {};
 };
 
 class upstream_pool;
@@ -139,7 +144,7 @@
     /// until the connection is established.
     [[nodiscard]] auto connection_number() const -> std::uint64_t
     {
-        return connection_number_;
+        return connection_.number;
     }
 
 private:
@@ -163,6 +168,11 @@
     auto refuse_stated_length(http::response_head const& head, response_use use)
         -> bool;
     [[nodiscard]] auto may_share_connection() const -> bool;
+    /// Whether the connection may carry further calls, now that the response
+    /// has been read.
+    [[nodiscard]] auto is_connection_reusable() const -> bool;
+    /// Closes the connection, if there is one.
+    auto close_connection() -> void;
     /// Counts bytes of the body that are buffered; returns whether they may be.
     auto charge_buffer(std::size_t bytes) -> bool;
     auto release_buffer() -> void;
@@ -176,8 +186,7 @@
     std::string bytes_;
     call_options options_;
     handlers handlers_;
-    std::shared_ptr<connection> connection_;
-    std::uint64_t connection_number_ = 0;
+    pooled_connection connection_;
     http::response_parser parser_;
     /// Bytes of the body that arrived.
     std::size_t body_bytes_ = 0;
@@ -198,7 +207,8 @@
 /// Pool of connections to other processes, by address. A connection is reused
 /// only if the whole request was sent, the whole response was read, no other
 /// response came before it, nothing followed it and neither side asked to
-/// close.
+/// close. No connection carries a request that was refused, or failed, on it
+/// before.
 class upstream_pool
 {
 public:
@@ -256,7 +266,14 @@
         duration limit;
     };
 
-    auto take_idle(asio::ip::tcp::endpoint const& to, duration max_idle)
+    /// Whether an idle connection still carries calls.
+    static auto is_usable(
+        idle_connection const& each, duration max_idle, time_point now) -> bool;
+
+    /// Takes the most recently used connection that may carry the call, and
+    /// closes those that are no longer usable.
+    auto take_idle(
+        asio::ip::tcp::endpoint const& to, call_options const& options)
         -> std::optional<pooled_connection>;
     auto return_connection(
         asio::ip::tcp::endpoint const& to,
--- a/packages/relay/src/upstream_call.cpp
+++ b/packages/relay/src/upstream_call.cpp
@@ -86,15 +86,14 @@
 
 auto upstream_call::begin(pooled_connection transport) -> void
 {
-    connection_ = std::move(transport.transport);
-    connection_number_ = transport.number;
+    connection_ = std::move(transport);
     auto const self = shared_from_this();
-    connection_->set_handlers(
+    connection_.transport->set_handlers(
         {[self](std::string_view bytes) { self->receive(bytes); },
          [self](connection_end how) { self->end(how); },
          {}});
-    connection_->read();
-    connection_->send(std::move(bytes_));
+    connection_.transport->read();
+    connection_.transport->send(std::move(bytes_));
 }
 
 auto upstream_call::receive(std::string_view bytes) -> void
@@ -246,23 +245,42 @@
     return !options_.is_head_request && !options_.has_own_connection;
 }
 
+auto upstream_call::is_connection_reusable() const -> bool
+{
+    auto const& held = *connection_.transport;
+    return may_share_connection() && parser_.head()->keep_alive &&
+           discarded_responses_ == 0 && !parser_.has_excess() &&
+           !parser_.ends_with_connection() && held.is_open() &&
+           held.unsent_bytes() == 0 && !connection_.failed.is_full();
+}
+
+auto upstream_call::close_connection() -> void
+{
+    auto const held = std::exchange(connection_.transport, nullptr);
+    if (held)
+    {
+        held->close();
+    }
+}
+
 auto upstream_call::complete() -> void
 {
     finished_ = true;
     release_buffer();
     auto const& head = *parser_.head();
-    auto const held = std::exchange(connection_, nullptr);
-    auto const reusable = may_share_connection() && head.keep_alive &&
-                          discarded_responses_ == 0 && !parser_.has_excess() &&
-                          !parser_.ends_with_connection() && held->is_open() &&
-                          held->unsent_bytes() == 0;
-    if (reusable)
+    auto const is_success = head.status / 100 == 2;
+    if (!is_success && !options_.request_id.empty())
     {
-        pool_->return_connection(to_, {held, connection_number_}, head);
+        connection_.failed.add(options_.request_id);
+    }
+    if (is_connection_reusable())
+    {
+        pool_->return_connection(to_, std::move(connection_), head);
+        connection_.transport = nullptr;
     }
     else
     {
-        held->close();
+        close_connection();
     }
     auto const callbacks = std::exchange(handlers_, {});
     if (callbacks.completed)
@@ -283,10 +301,7 @@
         return;
     }
     release_buffer();
-    if (auto const held = std::exchange(connection_, nullptr))
-    {
-        held->close();
-    }
+    close_connection();
     auto const callbacks = std::exchange(handlers_, {});
     if (callbacks.failed)
     {
@@ -301,25 +316,22 @@
     // Kept until this function returns, because the handlers may own its
     // caller.
     auto const callbacks = std::exchange(handlers_, {});
-    if (auto const held = std::exchange(connection_, nullptr))
-    {
-        held->close();
-    }
+    close_connection();
 }
 
 auto upstream_call::pause() -> void
 {
-    if (connection_)
+    if (connection_.transport)
     {
-        connection_->pause();
+        connection_.transport->pause();
     }
 }
 
 auto upstream_call::resume() -> void
 {
-    if (connection_)
+    if (connection_.transport)
     {
-        connection_->read();
+        connection_.transport->read();
     }
 }
 
@@ -360,8 +372,8 @@
 {
     auto call = std::shared_ptr<upstream_call>{new upstream_call{
         *this, to, std::move(bytes), options, std::move(callbacks)}};
-    auto held = call->may_share_connection() ? take_idle(to, options.max_idle)
-                                             : std::nullopt;
+    auto held =
+        call->may_share_connection() ? take_idle(to, options) : std::nullopt;
     if (held)
     {
         call->is_on_kept_connection_ = true;
@@ -401,8 +413,16 @@
     return call;
 }
 
+auto upstream_pool::is_usable(
+    idle_connection const& each, duration max_idle, time_point now) -> bool
+{
+    auto const idle = now - each.since;
+    return each.held.transport->is_open() && idle <= max_idle &&
+           idle <= each.limit && !each.held.transport->has_input();
+}
+
 auto upstream_pool::take_idle(
-    asio::ip::tcp::endpoint const& to, duration max_idle)
+    asio::ip::tcp::endpoint const& to, call_options const& options)
     -> std::optional<pooled_connection>
 {
     auto const found = idle_.find(to);
@@ -412,20 +432,23 @@
     }
     auto& waiting = found->second;
     auto const now = telemetry::monotonic_now();
-    while (!waiting.empty())
-    {
-        // The most recently used one is the least likely to have been dropped.
-        auto const last = std::move(waiting.back());
-        waiting.pop_back();
-        auto const idle = now - last.since;
-        auto const usable = last.held.transport->is_open() &&
-                            idle <= max_idle && idle <= last.limit &&
-                            !last.held.transport->has_input();
-        if (usable)
+    // The most recently used one is the least likely to have been dropped.
+    auto at = waiting.end();
+    while (at != waiting.begin())
+    {
+        --at;
+        if (!is_usable(*at, options.max_idle, now))
+        {
+            at->held.transport->close();
+            at = waiting.erase(at);
+            continue;
+        }
+        if (!at->held.failed.contains(options.request_id))
         {
-            return last.held;
+            auto taken = std::move(at->held);
+            waiting.erase(at);
+            return taken;
         }
-        last.held.transport->close();
     }
     return std::nullopt;
 }
--- a/test/correctness/relay/copies_of_this_requests_refusal_are_not_believed.cpp
+++ b/test/correctness/relay/copies_of_this_requests_refusal_are_not_believed.cpp
@@ -144,19 +144,20 @@
 {
     auto world = relay_fixture{};
     auto replica = repeating_replica{world.loop};
+    auto running = std::shared_ptr<connection>{};
     auto losing = raw_replica{
-        world.loop, [](connection& to, std::string const& head) {
+        world.loop, [&running](connection& to, std::string const& head) {
             if (head.starts_with("POST /-/kv-move"))
             {
                 to.send("HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n");
                 return;
             }
+            running = to.shared_from_this();
             to.send(fmt::format(
                 "HTTP/1.1 200 X\r\n{}X-Sapphirereel-Response-Signature: sig\r\n"
                 "Content-Length: 1000\r\n\r\nid: 1\ndata: e\n\n"
                 "id: 2\ndata: e\n\n",
                 id_field(request_id_of(head))));
-            to.close_gracefully();
         }};
     world.configure(1);
     world.add_at("losing", "engine", losing.port);
@@ -167,6 +168,11 @@
                  "X-Sapphirereel-Token-Count: 10,20\r\n\r\n");
     world.add_at("e-1", "engine", replica.port());
     world.add_at("e-2", "engine", replica.port());
+    ASSERT_TRUE(world.run_until([&] {
+        return running != nullptr &&
+               world.node().state().replicas.replicas().size() == 3;
+    }));
+    running->close();
     EXPECT_TRUE(world.run_until([&] {
         caller.read_some(65'536);
         return caller.received.find("id: 5\n") != std::string::npos;
