A success that is no result keeps its request off the connection, too

What callers saw in the tests: a resumable stream was lost, and a safe request ended with 502, though its second run was sound. A stream that ends within an event in a response of stated length, and a success without a signature, have status 2xx and are sent again; over the same connection a copy of the first response was taken for the second. Evidence: copied_cut_stream and copied_unsigned_success fail without the change of upstream_call.cpp (2 of 2), and pass with it. Fix: the exchange decides by the handler is_result whether a success is the result; one that isn't counts as failed. Results are not marked, so that no connection is opened for them. 51 of 51 tests pass of the six files on copies of refusals and on connections that are kept.

--- a/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/buffered_exchange.hpp
@@ -217,6 +217,9 @@
              [self](call_failure const& why) { self->attempt_failed(why); },
              [self](http::response_head const& head) {
                  return self->examine(head);
+             },
+             [self] {
+                 return self->proof_ == response_proof::succeeded;
              }});
         arm_attempt_timer(left);
     }
--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -379,6 +379,9 @@
              [self](call_failure const& why) { self->source_failed(why); },
              [self](http::response_head const& head) {
                  return self->examine(head);
+             },
+             [self] {
+                 return self->is_success() && !self->splitter_.has_partial();
              }});
     }
 
--- a/packages/relay/include/sapphirereel/relay/upstream_call.hpp
+++ b/packages/relay/include/sapphirereel/relay/upstream_call.hpp
@@ -120,6 +120,10 @@
         /// Decides about a response whose head has arrived; without this
         /// handler each is delivered.
         std::function<response_use(http::response_head const&)> examine = {};
+        /// Decides whether a success that has been read whole is the request's
+        /// result; without this handler each is. After one that is not, the
+        /// request may be sent again, so that it counts as failed.
+        std::function<bool()> is_result = {};
     };
 
     upstream_call(upstream_call const&) = delete;
--- a/packages/relay/src/upstream_call.cpp
+++ b/packages/relay/src/upstream_call.cpp
@@ -269,7 +269,9 @@
     release_buffer();
     auto const& head = *parser_.head();
     auto const is_success = head.status / 100 == 2;
-    if (!is_success && !options_.request_id.empty())
+    auto const is_result =
+        is_success && (!handlers_.is_result || handlers_.is_result());
+    if (!is_result && !options_.request_id.empty())
     {
         connection_.failed.add(options_.request_id);
     }
