Soak: copies of a request's own refusal, and what leads to them

Replicas end and return with another id at the same address while the earlier entry is still listed ("come back"), alone or several at once; replicas shed 30 % of their requests with true 503s; of the refused requests that may not be repeated callers send about half again with the same id, to any daemon.

--- a/test/correctness/soak/promises_test.py
+++ b/test/correctness/soak/promises_test.py
@@ -106,6 +106,46 @@
         promised_nothing = outcome(status=502, signature="")
         self.assertFalse(found(promises.refused_and_run, promised_nothing, [run()]))
 
+    def test_an_id_that_is_sent_again_runs_once_in_all(self):
+        refused, again = outcome(status=503, signature=""), outcome()
+        refused.sent_again_at = 100.0
+        ran_before, ran_after = run(), run()
+        ran_before.at, ran_after.at = 99.9, 100.1
+
+        def broken(check, runs):
+            return list(check([refused, again], {"r": runs}))
+
+        self.assertFalse(broken(promises.refused_and_run, [ran_after]))
+        self.assertTrue(broken(promises.refused_and_run, [ran_before]))
+        self.assertFalse(broken(promises.runs_too_often, [ran_after]))
+        twice = broken(promises.runs_too_often, [ran_before, ran_after])
+        self.assertEqual(1, len(twice))
+        again.status = 503
+        self.assertTrue(broken(promises.refused_and_run, [ran_after]))
+
+    def test_removals_count_for_the_sending_that_arrived(self):
+        sound = Daemon(Build("new", ""), "", "127.0.0.1", "z", [])
+        disturbed = Daemon(Build("new", ""), "", "127.0.0.2", "z", [])
+        disturbed._touches.append(101.0)
+        replica = Replica("plain", "z", {})
+        replica.removed_at = 100.0
+        replica.after_removal = [("r", 101.7)]
+        refused = Outcome("r", "unsafe", "key", sound.callers, 101.6, 503)
+        refused.sent_again_at = 101.8
+        again = Outcome("r", "unsafe", "key", disturbed.callers, 101.8)
+        daemons = [sound, disturbed]
+
+        def late(outcomes):
+            return list(
+                promises.late_after_removal(
+                    outcomes, daemons, [replica], Store(), Spans()
+                )
+            )
+
+        self.assertTrue(late([refused, again]))
+        replica.after_removal = [("r", 101.9)]
+        self.assertFalse(late([refused, again]))
+
     def test_answers_are_the_replicas(self):
         self.assertFalse(found(promises.wrong_answers, outcome(), [run()]))
         self.assertTrue(found(promises.wrong_answers, outcome(), []))
--- a/tools/soak.d/callers.py
+++ b/tools/soak.d/callers.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import json
+import math
 import random
 import time
 from dataclasses import dataclass
 
 import http11
 from connection import Connection
+from promises import NOT_RUN
 
 ADDRESS_LIFE_S = 2.0
 PATIENCE_S = 6.0
@@ -15,6 +17,8 @@
 LONGEST_RETURN_S = 1.0
 # One caller in so many opens a connection for each request.
 NEW_CONNECTION_CALLERS = 4
+# Of the requests that are sent once more, so many bear the same id.
+SAME_ID_SHARE = 0.5
 
 
 @dataclass
@@ -42,6 +46,12 @@
     build: str = ""
     # When the answer asks to come back, in seconds; none if it doesn't.
     retry_after_s: float | None = None
+    # When its caller sent the same id again, after a refusal.
+    sent_again_at: float = math.inf
+
+    @property
+    def is_sent_again(self):
+        return self.sent_again_at < math.inf
 
     @property
     def position(self):
@@ -140,23 +150,35 @@
 
     async def _send(self, kind, request_id):
         """One request; a stream that may resume is continued after a cut, and what
-        was refused with a time to come back is sent once more."""
+        was refused with a time to come back is sent once more, some of it with the
+        same id."""
         key = self._random.choice(self._keys)
         after, has_returned = 0, False
+        refused = None
         for attempt in range(1 + MOST_RECONNECTS):
+            attempt_id = f"{request_id}-{attempt}"
+            if refused is not None and self._keeps_id(refused):
+                attempt_id = refused.id
+                refused.sent_again_at = time.monotonic()
+            refused = None
             got = await ask(
-                self._next_connection(), kind, key, f"{request_id}-{attempt}",
-                after=after,
+                self._next_connection(), kind, key, attempt_id, after=after
             )
             self.outcomes.append(got)
             if got.retry_after_s is not None and not has_returned:
-                has_returned = True
+                has_returned, refused = True, got
                 await asyncio.sleep(min(got.retry_after_s, LONGEST_RETURN_S))
                 continue
             if kind != "resume" or got.whole or got.status not in (0, 200):
                 return
             after = got.position
 
+    def _keeps_id(self, refused):
+        """Whether a request goes once more with its id, so that it may run once in
+        all; one that may be repeated can have run before it was refused."""
+        may_keep = refused.kind != "safe" and refused.status in NOT_RUN
+        return may_keep and self._random.random() < SAME_ID_SHARE
+
     def _next_connection(self):
         """The open connection, until the process at its other end is gone."""
         address = self._random.choice(self._addresses)
--- a/tools/soak.d/faulty_answers.py
+++ b/tools/soak.d/faulty_answers.py
@@ -1,13 +1,13 @@
 """What faulty replicas write in place of their answers, or beside them."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import http11
 
 # Modes in which a replica answers some of its requests wrongly.
 REPEAT, UNMARKED, CUT_HEAD, LATE_EXTRA = "repeat", "unmarked", "cut head", "late extra"
-WRONG_LENGTH = "wrong length"
-MODES = (REPEAT, UNMARKED, CUT_HEAD, LATE_EXTRA, WRONG_LENGTH)
+WRONG_LENGTH, SHED = "wrong length", "shed"
+MODES = (REPEAT, UNMARKED, CUT_HEAD, LATE_EXTRA, WRONG_LENGTH, SHED)
 SHARE = 0.3
 LONGEST_REPEAT_DELAY_S = 0.03
 REFUSAL_STATUSES = (503, 429, 408)
@@ -21,6 +21,13 @@
     refused_id: str = ""
     # The last whole answer.
     answer: bytes = b""
+    # The refusals, by the ids of the requests that were refused.
+    refusals: dict = field(default_factory=dict)
+
+    def refuse(self, request_id, refused):
+        """Notes a refusal; returns it."""
+        self.refusals[request_id] = refused
+        return refused
 
 
 def refusal(request_id, fields=None, status=503):
--- a/tools/soak.d/model_replicas.py
+++ b/tools/soak.d/model_replicas.py
@@ -55,8 +55,8 @@
         # Copies by source and handle: the moment after which they are gone.
         self._copies = {}
 
-    async def open(self, ip, store):
-        await super().open(ip, store)
+    async def open(self, ip, store, port=0):
+        await super().open(ip, store, port)
         by_address[self.proxy.address] = self
 
     # Copies.
--- a/tools/soak.d/promises.py
+++ b/tools/soak.d/promises.py
@@ -81,6 +81,9 @@
 
 def runs_too_often(outcomes, ledger):
     for got in outcomes:
+        # Runs of one id count together, however often it was sent.
+        if got.is_sent_again:
+            continue
         most = MOST_RUNS.get(got.kind, 1)
         # What goes on from the memory of a run is the same run.
         runs = [run for run in ledger.get(got.id, []) if not run.is_continued]
@@ -93,7 +96,9 @@
     for got in outcomes:
         # Who made the answer doesn't matter: the status is the promise.
         is_promise = got.status in NOT_RUN
-        if got.kind != "safe" and is_promise and got.id in ledger:
+        runs = ledger.get(got.id, [])
+        ran = any(run.at < got.sent_again_at for run in runs)
+        if got.kind != "safe" and is_promise and ran:
             yield broken(got, f"got {got.status} and ran")
 
 
@@ -165,6 +170,8 @@
     daemon_at = {each.callers: each for each in daemons}
     replica_of = {each.id: each for each in replicas}
     for got in outcomes:
+        if got.is_sent_again:
+            continue
         runs = sorted(ledger.get(got.id, []), key=lambda run: run.at)
         for earlier, later in zip(runs, runs[1:]):
             if earlier.ended is None or earlier.replica == later.replica:
@@ -184,11 +191,14 @@
 
 def late_after_removal(outcomes, daemons, replicas, store, lags):
     """Requests to a replica whose entry was removed while the store was stable."""
-    daemon_of = {got.id: got for got in outcomes}
+    sent = {}
+    for got in outcomes:
+        sent.setdefault(got.id, []).append(got)
     daemon_at = {each.callers: each for each in daemons}
     for replica in replicas:
         for request_id, at in replica.after_removal:
-            got = daemon_of.get(request_id)
+            of_id = sent.get(request_id, [])
+            got = next((each for each in of_id if at < each.sent_again_at), None)
             since = at - STABLE_S
             if (
                 at - replica.removed_at > DRAIN_S + DRAIN_SLACK_S
--- a/tools/soak.d/proxy.py
+++ b/tools/soak.d/proxy.py
@@ -29,8 +29,8 @@
         self._mode = mode
         self.disturbances.note(mode != "open")
 
-    async def open(self, ip, target):
-        self._server = await asyncio.start_server(self._serve, ip, 0)
+    async def open(self, ip, target, port=0):
+        self._server = await asyncio.start_server(self._serve, ip, port)
         self.address = f"{ip}:{self._server.sockets[0].getsockname()[1]}"
         self._target = target
 
--- a/tools/soak.d/replicas.py
+++ b/tools/soak.d/replicas.py
@@ -75,6 +75,9 @@
         self.misdirected = []
         # Times in which daemons know that it takes only COLD_PER_S.
         self.cold_spans = []
+        # Refusals, and those that were written once more, with the same id.
+        self.refusals = 0
+        self.copied_refusals = 0
         self._born = time.time()
         self._warm_at = 0.0
         if is_cold:
@@ -116,10 +119,11 @@
             or self.proxy.disturbances.touch(since, until)
         )
 
-    async def open(self, ip, store):
+    async def open(self, ip, store, port=0):
+        """Serves at a port that daemons reach; 0 for a free one."""
         self._server = await asyncio.start_server(self._serve, ip, 0)
-        port = self._server.sockets[0].getsockname()[1]
-        await self.proxy.open(ip, f"{ip}:{port}")
+        own_port = self._server.sockets[0].getsockname()[1]
+        await self.proxy.open(ip, f"{ip}:{own_port}", port)
         await self.register(store, "ready")
         self._beats = asyncio.create_task(self._renew(store))
 
@@ -206,7 +210,8 @@
         if wanted != self.id:
             self.misdirected.append(wanted)
             who = {"X-Sapphirereel-Replica-Id": self.id}
-            writer.write(faulty_answers.refusal(request_id, who, 421))
+            refused = faulty_answers.refusal(request_id, who, 421)
+            self._refuse(request_id, refused, writer, earlier)
             return
         self.arrivals.append(time.monotonic())
         if self.removed_at is not None:
@@ -216,10 +221,10 @@
         if self.mode == "reset":
             writer.transport.abort()
             return
-        is_refused = not earlier.refused_id and self._is_hit(faulty_answers.REPEAT)
-        if self._refuses(asked) or is_refused:
+        if self._refuses(asked) or self._sheds(request_id, earlier):
             earlier.refused_id = request_id
-            writer.write(faulty_answers.refusal(request_id, self._state_fields()))
+            refused = faulty_answers.refusal(request_id, self._state_fields())
+            self._refuse(request_id, refused, writer, earlier)
             return
         run = Run(
             self.id, time.monotonic(),
@@ -230,7 +235,7 @@
         self.ledger.setdefault(request_id, []).append(run)
         if self.mode == "hang":
             await asyncio.sleep(3_600)
-        is_spoiled = await self._write_earlier(writer, earlier)
+        is_spoiled = await self._write_earlier(request_id, writer, earlier)
         fields = {
             "X-Sapphirereel-Request-Id": request_id,
             "X-Sapphirereel-Response-Signature": f"{self.id}.{request_id}",
@@ -241,12 +246,30 @@
         """Whether it has no room for a request."""
         return False
 
+    def _sheds(self, request_id, earlier):
+        """Whether it refuses a request for which it has room; what the connection
+        has refused runs when it comes again."""
+        if request_id in earlier.refusals:
+            return False
+        repeats = not earlier.refused_id and self._is_hit(faulty_answers.REPEAT)
+        return repeats or self._is_hit(faulty_answers.SHED)
+
+    def _refuse(self, request_id, refused, writer, earlier):
+        self.refusals += 1
+        writer.write(earlier.refuse(request_id, refused))
+
     def _is_continuation(self, asked):
         """Whether a request goes on from the memory of an earlier run."""
         return False
 
-    async def _write_earlier(self, writer, earlier):
-        """Writes an answer to an earlier request once more; whether it did."""
+    async def _write_earlier(self, request_id, writer, earlier):
+        """Writes an answer to an earlier request once more, or the refusal of this
+        one on the same connection; whether it did."""
+        if request_id in earlier.refusals:
+            await asyncio.sleep(faulty_answers.repeat_delay_s(self._random))
+            writer.write(earlier.refusals.pop(request_id))
+            self.copied_refusals += 1
+            return True
         if earlier.refused_id and self.mode == faulty_answers.REPEAT:
             await asyncio.sleep(faulty_answers.repeat_delay_s(self._random))
             writer.write(faulty_answers.repeated_refusal(self._random, earlier))
--- a/tools/soak.d/soak.py
+++ b/tools/soak.d/soak.py
@@ -121,10 +121,10 @@
             service, zone, self.ledger, is_cold, self.seed, drops=drops
         )
 
-    async def add_replica(self, service, zone, is_cold=False):
+    async def add_replica(self, service, zone, is_cold=False, port=0):
         made = self.new_replica(service, zone, is_cold)
         made.all_calm = self.all_calm
-        await made.open(self.replica_ip, self.store)
+        await made.open(self.replica_ip, self.store, port)
         self.replicas.append(made)
 
     async def publish(self):
@@ -153,6 +153,23 @@
         await self.store.write(platform.REPLICAS, replica.id, None)
         await self.add_replica(replica.service, replica.zone, is_cold=True)
 
+    async def come_back(self, replica):
+        """A replica ends and returns with another id at the same address, where its
+        earlier entry is listed beside the later one until it expires."""
+        if replica not in self.replicas:
+            return
+        self.replicas.remove(replica)
+        self.gone.append(replica)
+        replica.crash()
+        is_cold = self.random.random() < 0.5
+        port = int(replica.proxy.address.rpartition(":")[2])
+        await self.add_replica(replica.service, replica.zone, is_cold, port)
+        await asyncio.sleep(ENTRY_LIFE_S)
+        await self.store.write(platform.REPLICAS, replica.id, None)
+
+    async def come_back_together(self, replicas):
+        await asyncio.gather(*(self.come_back(each) for each in replicas))
+
     async def leave(self, replica):
         self.replicas.remove(replica)
         self.gone.append(replica)
@@ -295,6 +312,11 @@
         kinds = []
         if self.odd_entries_left:
             kinds.append(("odd entries", "", self.add_odd_entries))
+        returning = self.random.sample(
+            self.replicas, self.random.randint(1, len(self.replicas) // 2)
+        )
+        come_back = functools.partial(self.come_back_together, returning)
+        kinds.append(("come back", f"at {len(returning)} replicas", come_back))
         for mode in faulty_answers.MODES:
             count = self.random.randint(1, len(self.replicas) // 2)
             spoiled = self.random.sample(self.replicas, count)
@@ -356,6 +378,12 @@
         asyncio.get_running_loop().set_exception_handler(lambda *_: None)
         return outcomes + at_rest
 
+    def summary_of_refusals(self):
+        replicas = self.replicas + self.gone
+        refused = sum(each.refusals for each in replicas)
+        copied = sum(each.copied_refusals for each in replicas)
+        return f"refusals by replicas: {refused}, copies beside a run: {copied}"
+
     def close(self):
         for each in self.daemons:
             each.kill()
@@ -408,6 +436,7 @@
     finally:
         soak.close()
     print(f"seed {options.seed}: {len(outcomes)} requests: {summary(outcomes)}")
+    print(soak.summary_of_refusals())
     report(soak.findings)
     print(f"logs: {folder}")
     return 1 if promises.fails(soak.findings) else 0
