A body that arrives steadily has the time that it needs

What callers saw: 4 MiB sent over 5 s, inside all limits, ended with a reset after 3 s. Cause: the time limit of a head ran until the body had come. It now bounds the head alone; a body is refused with 408 where less than 4,096 bytes of it arrive in each such time, so that one that stops still gives its memory back.

--- a/packages/http/include/sapphirereel/http/request_parser.hpp
+++ b/packages/http/include/sapphirereel/http/request_parser.hpp
@@ -65,6 +65,13 @@
     /// Whether part of a request has arrived.
     [[nodiscard]] auto has_partial() const -> bool;
 
+    /// Whether the head of the present request has arrived, and its body has
+    /// not arrived whole.
+    [[nodiscard]] auto is_reading_body() const -> bool;
+
+    /// Bytes of the present request's body that have arrived.
+    [[nodiscard]] auto body_bytes() const -> std::size_t;
+
     /// Whether the head of the present request asks to be told to go on before
     /// its body is sent. Says so once.
     auto take_continue_wanted() -> bool;
--- a/packages/http/src/request_parser.cpp
+++ b/packages/http/src/request_parser.cpp
@@ -88,6 +88,16 @@
     return state_->buffer.size();
 }
 
+auto request_parser::is_reading_body() const -> bool
+{
+    return state_->parser.has_value();
+}
+
+auto request_parser::body_bytes() const -> std::size_t
+{
+    return state_->parser ? state_->parser->get().body().size() : 0;
+}
+
 namespace {
 
 /// The version of HTTP, times ten, that introduced chunks.
--- a/packages/relay/include/sapphirereel/relay/caller_session.hpp
+++ b/packages/relay/include/sapphirereel/relay/caller_session.hpp
@@ -17,6 +17,11 @@
 
 namespace sapphirereel::relay {
 
+/// Least bytes of a body that must arrive within the time limit of a head,
+/// again and again: a caller that sends less is refused, one that sends
+/// steadily has the time that it needs.
+inline constexpr auto min_body_progress_bytes = std::size_t{4'096};
+
 /// One connection from a caller. Requests are served one at a time; pipelined
 /// requests wait in the parser.
 class caller_session : public std::enable_shared_from_this<caller_session>
@@ -103,6 +108,9 @@
     auto report_incomplete(session_end ended_by) const -> void;
     auto arm_timer() -> void;
     auto timed_out() -> void;
+    /// Refuses a request that does not arrive in time; gives one whose body
+    /// arrives steadily more time.
+    auto examine_arrival() -> void;
     auto close_if_idle() -> void;
     auto connection_fields(http::field_list& fields) const -> void;
 
@@ -121,9 +129,11 @@
     /// Whether the caller of the present request can read chunks.
     bool accepts_chunks_ = true;
     bool stopping_ = false;
-    /// Whether the timer limits the time to receive a request's head instead of
-    /// the idle time.
-    bool timing_head_ = false;
+    /// Whether the timer limits the time to receive a request instead of the
+    /// idle time.
+    bool timing_request_ = false;
+    /// Bytes of the body that had arrived when the timer was set.
+    std::size_t examined_body_bytes_ = 0;
 };
 
 } // namespace sapphirereel::relay
--- a/packages/relay/src/caller_session.cpp
+++ b/packages/relay/src/caller_session.cpp
@@ -81,15 +81,15 @@
     }
     if (!*next)
     {
-        auto const head_begins = parser_.has_partial() && !timing_head_;
-        if (head_begins)
+        auto const request_begins = parser_.has_partial() && !timing_request_;
+        if (request_begins)
         {
             arm_timer();
         }
         return;
     }
     busy_ = true;
-    timing_head_ = false;
+    timing_request_ = false;
     timer_.cancel();
     keep_alive_ = (*next)->keep_alive && !stopping_;
     accepts_chunks_ = (*next)->accepts_chunks;
@@ -99,9 +99,10 @@
 auto caller_session::arm_timer() -> void
 {
     auto const limits = limits_();
-    timing_head_ = parser_.has_partial();
+    timing_request_ = parser_.has_partial();
+    examined_body_bytes_ = parser_.body_bytes();
     timer_.expires_after(
-        timing_head_ ? limits.head_timeout : limits.idle_timeout);
+        timing_request_ ? limits.head_timeout : limits.idle_timeout);
     timer_.async_wait([weak = weak_from_this()](std::error_code error) {
         auto const self = weak.lock();
         if (!error && self && !self->busy_)
@@ -113,9 +114,9 @@
 
 auto caller_session::timed_out() -> void
 {
-    if (timing_head_)
+    if (timing_request_)
     {
-        reject({408, "the request did not arrive in time"});
+        examine_arrival();
         return;
     }
     close_if_idle();
@@ -125,6 +126,17 @@
     }
 }
 
+auto caller_session::examine_arrival() -> void
+{
+    auto const arrived = parser_.body_bytes() - examined_body_bytes_;
+    if (parser_.is_reading_body() && arrived >= min_body_progress_bytes)
+    {
+        arm_timer();
+        return;
+    }
+    reject({408, "the request did not arrive in time"});
+}
+
 /// A request that has arrived and was not read yet is served.
 auto caller_session::close_if_idle() -> void
 {
