--- a/test/error/crowd/crowd_test.py
+++ b/test/error/crowd/crowd_test.py
@@ -44,6 +44,8 @@
         wrong = [await ordinary.served(entry.address(each), each) for each in ports]
         await asyncio.sleep(max(0.0, began + target.CROWD_S - time.monotonic()))
     print(f"connections {crowd.connections}, statuses {crowd.statuses}")
+    if crowd.connections < FORMS[form].clients:
+        wrong.append("not every client of the crowd was connected")
     for status in crowd.unexpected():
         wrong.append(f"the crowd got {status}, which is no refusal")
     return [f"beside the crowd: {each}" for each in wrong if each]
@@ -101,6 +103,9 @@
         for port in entry.ports:
             after = await ordinary.served(entry.address(port), port)
             wrong.append(after and f"after the crowd: {after}")
+        if not case.startswith(reeld.PORT):
+            after = await ordinary.whole_served(entry.address("callers"))
+            wrong.append(after and f"after the crowd: {after}")
     print(
         f"{case}: peak {watch.memory / target.BYTES_PER_MB:.1f} MB, with unread bytes "
         f"{watch.memory_and_unread / target.BYTES_PER_MB:.1f} MB, unread alone "
--- a/test/error/crowd/ordinary.py
+++ b/test/error/crowd/ordinary.py
@@ -42,11 +42,22 @@
 
 async def served(address, port):
     """Asks until it is answered with 200; what happened instead, or none."""
+    last = await _asked(address, lambda: small(port))
+    return last and f"an ordinary request at the port of {port} got {last}"
+
+
+async def whole_served(address):
+    """The same for a body of the largest size."""
+    last = await _asked(address, lambda: post(b"x" * target.BODY_LIMIT))
+    return last and f"a body of {target.BODY_LIMIT} bytes got {last}"
+
+
+async def _asked(address, next_request):
     end = time.monotonic() + target.SERVED_WITHIN_S
-    last = None
+    last = "no try"
     while time.monotonic() < end:
         try:
-            answer = await http11.call(address, small(port), TRY_S)
+            answer = await http11.call(address, next_request(), TRY_S)
             last = http11.status_of(answer)
             if last == 200:
                 return None
@@ -55,7 +66,7 @@
         except http11.Broken as why:
             last = why
         await asyncio.sleep(PAUSE_S)
-    return f"an ordinary request at the {port}' port got {last}"
+    return str(last)
 
 
 async def steady(address, size, in_s):
