Crowd tests: callers and routes wait longer than a steady body takes

A steady body of 5 or 6 s carried a deadline of 4 s, and its route allowed 5 s, so that a process could have refused it rightly for its time. Both are 30 s now, for every request of these tests; the checks, the crowd and the bounds are the same.

--- a/test/error/crowd/entry.py
+++ b/test/error/crowd/entry.py
@@ -16,8 +16,6 @@
 from replicas import Replica  # noqa: E402
 
 ZONE = "z1"
-# Longer than a crowd stays, so that its requests wait all that time.
-MUTE_TIMEOUT_MS = 30_000
 PORTS = {
     "callers": 18740, "readiness": 18749, "directory": 18746, "peers": 18720,
 }
@@ -54,12 +52,12 @@
     async def open(self):
         store = platform.Store()
         await store.open("127.0.0.1")
-        mute = {"timeout-ms": MUTE_TIMEOUT_MS}
+        patient = {"timeout-ms": target.PATIENCE_MS}
         await store.write(platform.CONFIGURATION, "config", {
             "version": 1,
             "routes": [
-                configuration.route("safe", "safe", "plain"),
-                configuration.route("mute", "safe", "mute", **mute),
+                configuration.route("safe", "safe", "plain", **patient),
+                configuration.route("mute", "safe", "mute", **patient),
             ],
             "services": [{"name": "plain"}, {"name": "mute"}],
             "limits": target.LIMITS,
--- a/test/error/crowd/forms.py
+++ b/test/error/crowd/forms.py
@@ -33,7 +33,7 @@
     lines = [
         f"POST {path} HTTP/1.1", "Host: h",
         "X-Sapphirereel-Request-Id: c0ffee00c0ffee00",
-        "X-Sapphirereel-Deadline-Ms: 30000", *fields,
+        f"X-Sapphirereel-Deadline-Ms: {target.PATIENCE_MS}", *fields,
     ]
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
--- a/test/error/crowd/ordinary.py
+++ b/test/error/crowd/ordinary.py
@@ -28,7 +28,7 @@
 def post(body):
     fields = {
         "Host": "h", "X-Sapphirereel-Request-Id": f"{next(_numbers):016x}",
-        "X-Sapphirereel-Deadline-Ms": "4000",
+        "X-Sapphirereel-Deadline-Ms": target.PATIENCE_MS,
     }
     return http11.request("POST", "/safe/ordinary", fields, body)
 
--- a/test/error/crowd/target.py
+++ b/test/error/crowd/target.py
@@ -28,5 +28,8 @@
 SERVED_WITHIN_S = 20.0
 # What a refused or closed client waits before it connects again.
 RETURN_S = 0.5
+# Time that callers and routes allow a request: longer than a crowd stays and than a
+# steady body takes.
+PATIENCE_MS = 30_000
 # Responses that refuse a client of the crowd; it may also be disconnected.
 REFUSALS = {400, 408, 413, 431, 503}
