Count all bytes that callers' requests hold, on all ports together

What callers saw: clients that send bodies without end, or stop short of their end, ended a process for want of memory. Cause: each connection was bounded by the largest body alone, nothing counted them together; a refused body was kept while its connection closed; bodies took up to twice their bytes while they grew; the directory, readiness and peers' ports took callers' bodies.

All connections that others open now share one account (a quarter of limits.memory-mb). A request counts with what it has allocated, one that is served with its copy for the replica too. Large requests leave a quarter of the account to small ones. Where it is full, the request that holds most of those that are still arriving is refused with 503 and Retry-After, so that shorter ones keep their place; what a refused one held is dropped at once.

--- a/packages/http/include/sapphirereel/http/request_parser.hpp
+++ b/packages/http/include/sapphirereel/http/request_parser.hpp
@@ -72,6 +72,12 @@
     /// Bytes of the present request's body that have arrived.
     [[nodiscard]] auto body_bytes() const -> std::size_t;
 
+    /// Bytes of memory that the parser holds.
+    [[nodiscard]] auto held_bytes() const -> std::size_t;
+
+    /// Drops what has arrived, and its memory.
+    auto clear() -> void;
+
     /// Whether the head of the present request asks to be told to go on before
     /// its body is sent. Says so once.
     auto take_continue_wanted() -> bool;
--- a/packages/http/src/request_parser.cpp
+++ b/packages/http/src/request_parser.cpp
@@ -15,6 +15,20 @@
 
 using beast_parser = beast::request_parser<arriving_body>;
 
+/// Largest buffer that is kept for the next request, in bytes.
+constexpr auto kept_buffer_bytes = std::size_t{4'096};
+
+/// How often a head is in memory while its body arrives: the library's fields
+/// and the request's own, each with an overhead for every field.
+constexpr auto copies_of_head = std::size_t{3};
+
+/// Bytes that a string has allocated.
+auto heap_bytes(std::string const& text) -> std::size_t
+{
+    auto const is_inside = text.capacity() <= std::string{}.capacity();
+    return is_inside ? 0 : text.capacity();
+}
+
 /// Whether a header line goes on in the next line, an obsolete form that
 /// parsers read differently.
 auto has_folded_line(std::string_view head) -> bool
@@ -52,7 +66,17 @@
     std::string buffer;
     std::optional<beast_parser> parser;
     request head;
+    std::size_t head_bytes = 0;
     bool continue_wanted = false;
+
+    /// Gives the memory of a large buffer back once it is empty.
+    auto shrink_buffer() -> void
+    {
+        if (buffer.empty() && buffer.capacity() > kept_buffer_bytes)
+        {
+            buffer = std::string{};
+        }
+    }
 };
 
 request_parser::request_parser()
@@ -98,6 +122,20 @@
     return state_->parser ? state_->parser->get().body().size() : 0;
 }
 
+auto request_parser::held_bytes() const -> std::size_t
+{
+    auto const& now = *state_;
+    auto const body = now.parser ? heap_bytes(now.parser->get().body()) : 0;
+    return heap_bytes(now.buffer) + now.head_bytes * copies_of_head + body;
+}
+
+auto request_parser::clear() -> void
+{
+    auto const limits = state_->limits;
+    state_ = std::make_unique<state>();
+    state_->limits = limits;
+}
+
 namespace {
 
 /// The version of HTTP, times ten, that introduced chunks.
@@ -171,6 +209,7 @@
                 request_error{status_of(error), error.message()});
         }
         now.buffer.erase(0, used);
+        now.head_bytes = head_size;
         now.head = read_fields(*now.parser);
         if (auto const why = find_ambiguity(now.head))
         {
@@ -195,6 +234,7 @@
                 request_error{status_of(error), error.message()});
         }
     }
+    now.shrink_buffer();
     if (!now.parser->is_done())
     {
         // The parser takes bytes of a body at once, so that what is left is a
@@ -208,6 +248,7 @@
     }
     now.head.body = std::move(now.parser->get().body());
     now.parser.reset();
+    now.head_bytes = 0;
     now.continue_wanted = false;
     return std::exchange(now.head, request{});
 }
--- a/packages/relay/include/sapphirereel/relay/caller_session.hpp
+++ b/packages/relay/include/sapphirereel/relay/caller_session.hpp
@@ -7,6 +7,7 @@
 #include "sapphirereel/core/clock.hpp"
 #include "sapphirereel/http/request_parser.hpp"
 #include "sapphirereel/relay/connection.hpp"
+#include "sapphirereel/relay/intake_account.hpp"
 #include "sapphirereel/relay/routing.hpp"
 #include "sapphirereel/relay/session_stage.hpp"
 
@@ -22,6 +23,9 @@
 /// steadily has the time that it needs.
 inline constexpr auto min_body_progress_bytes = std::size_t{4'096};
 
+/// Time after which a caller whose message found no room may send it again.
+inline constexpr auto retry_without_room = std::chrono::seconds{1};
+
 /// One connection from a caller. Requests are served one at a time; pipelined
 /// requests wait in the parser.
 class caller_session : public std::enable_shared_from_this<caller_session>
@@ -31,12 +35,23 @@
         std::function<void(std::shared_ptr<caller_session>, http::request)>;
     using limits_source = std::function<caller_limits()>;
     using incomplete_handler = std::function<void(incomplete_session const&)>;
+    /// Makes room for a request that is to hold so many bytes; returns whether
+    /// there may be some now.
+    using room_maker = std::function<bool(std::size_t)>;
 
-    /// Starts reading. `limits` is evaluated before each request.
+    /// Starts reading. `limits` is evaluated before each request. `intake` is
+    /// the account of the bytes that requests take; none if they are not
+    /// counted.
     static auto start(
         asio::ip::tcp::socket socket,
         limits_source limits,
-        request_handler on_request) -> std::shared_ptr<caller_session>;
+        request_handler on_request,
+        std::shared_ptr<intake_account> intake = nullptr)
+        -> std::shared_ptr<caller_session>;
+
+    ~caller_session();
+    caller_session(caller_session const&) = delete;
+    auto operator=(caller_session const&) -> caller_session& = delete;
 
     /// Sets a handler that is called once if the caller disconnects before its
     /// response is complete.
@@ -92,16 +107,48 @@
     /// Whether the socket is closed.
     [[nodiscard]] auto is_closed() const -> bool;
 
+    /// Whether the connection carries no whole request now.
+    [[nodiscard]] auto may_be_ended() const -> bool
+    {
+        return !busy_;
+    }
+
+    /// Refuses a request that is arriving, as others need its room.
+    auto end_for_room() -> void;
+
+    /// Bytes that the account counts for this connection.
+    [[nodiscard]] auto counted_bytes() const -> std::size_t
+    {
+        return counted_bytes_;
+    }
+
+    /// Sets what is asked for room before a request is refused for want of it.
+    auto set_room_maker(room_maker make_room) -> void;
+
+    /// Sets a handler that is called with the status of each request that is
+    /// refused before it has arrived whole.
+    auto on_rejected(std::function<void(int status)> handler) -> void;
+
 private:
     caller_session(
         std::shared_ptr<connection> transport,
         asio::steady_timer timer,
         limits_source limits,
-        request_handler on_request);
+        request_handler on_request,
+        std::shared_ptr<intake_account> intake);
 
     auto begin() -> void;
     auto receive(std::string_view bytes) -> void;
+    auto drained() -> void;
+    /// Serves the next request that has arrived, once the caller has read
+    /// enough of the responses before it.
+    auto serve_waiting() -> void;
     auto serve_next() -> void;
+    /// Counts what is held; returns whether it may be.
+    auto count_bytes(std::size_t bytes) -> bool;
+    /// The same, after others have made room if there is none.
+    auto take_room(std::size_t bytes) -> bool;
+    auto reject_without_room() -> void;
     auto response_completed() -> void;
     auto reject(http::request_error const& error) -> void;
     auto handle_disconnect() -> void;
@@ -134,6 +181,11 @@
     bool timing_request_ = false;
     /// Bytes of the body that had arrived when the timer was set.
     std::size_t examined_body_bytes_ = 0;
+    std::shared_ptr<intake_account> intake_;
+    /// Bytes that the account counts for this connection.
+    std::size_t counted_bytes_ = 0;
+    std::function<void(int)> rejected_handler_;
+    room_maker make_room_;
 };
 
 } // namespace sapphirereel::relay
--- a/packages/relay/include/sapphirereel/relay/listener.hpp
+++ b/packages/relay/include/sapphirereel/relay/listener.hpp
@@ -6,6 +6,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <string>
@@ -32,8 +33,10 @@
     listener(asio::ip::tcp::acceptor acceptor, accepted_handler accepted);
 
     auto accept_next() -> void;
+    auto accept_after_pause() -> void;
 
     asio::ip::tcp::acceptor acceptor_;
+    asio::steady_timer pause_;
     accepted_handler accepted_;
 };
 
--- a/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
@@ -87,6 +87,10 @@
     piece_requests_failed,
     /// Bytes of copies of the log that were handed to connections of peers.
     copy_bytes_sent,
+    /// Requests that were refused before they had arrived whole, and those of
+    /// them for which there was no room.
+    arrivals_rejected,
+    arrivals_without_room,
     /// Exceptions of handlers, each of which ended its connection alone.
     handler_errors,
     count_of_counters
--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -7,6 +7,7 @@
 #include "sapphirereel/core/containment.hpp"
 #include "sapphirereel/relay/address_selection.hpp"
 #include "sapphirereel/relay/buffered_exchange.hpp"
+#include "sapphirereel/relay/caller_intake.hpp"
 #include "sapphirereel/relay/cluster_sync.hpp"
 #include "sapphirereel/relay/copy_server.hpp"
 #include "sapphirereel/relay/forward_target.hpp"
@@ -17,7 +18,6 @@
 #include "sapphirereel/relay/stop_policy.hpp"
 #include "sapphirereel/relay/stream_exchange.hpp"
 
-#include <list>
 #include <memory>
 #include <optional>
 #include <string>
@@ -97,6 +97,7 @@
               settings_.zone,
               [this] { interrupt_requests(interruption::poison); })
         , paths_(state_, peers_, settings_.peers.port)
+        , intake_({settings_.memory_bytes}, state_.log, state_.metrics)
         , tick_(loop)
         , stop_timer_(loop)
     {
@@ -257,6 +258,12 @@
             {{"seeds", settings.seeds.size()}});
     }
 
+    /// The connections that others have opened, on all ports of the daemon.
+    [[nodiscard]] auto intake() -> caller_intake&
+    {
+        return intake_;
+    }
+
     [[nodiscard]] auto state() -> relay_state&
     {
         return state_;
@@ -277,7 +284,7 @@
 
     auto serve_caller(asio::ip::tcp::socket socket) -> void
     {
-        auto const session = caller_session::start(
+        auto const session = intake_.accept(
             std::move(socket), [this] { return limits(); },
             [this](
                 std::shared_ptr<caller_session> from, http::request request) {
@@ -286,7 +293,6 @@
         session->on_incomplete([this](incomplete_session const& which) {
             record_incomplete(which, telemetry::monotonic_now());
         });
-        sessions_.push_back(session);
         if (state_.is_stopping() && stop_closes_idle_)
         {
             // A connection accepted this late is closed after one request.
@@ -521,7 +527,7 @@
     /// streams.
     auto serve_peer(asio::ip::tcp::socket socket) -> void
     {
-        sessions_.push_back(caller_session::start(
+        intake_.accept(
             std::move(socket), [this] { return limits(); },
             [this](
                 std::shared_ptr<caller_session> const& from,
@@ -541,7 +547,7 @@
                     return;
                 }
                 serve_copies(*from, request);
-            }));
+            });
     }
 
     /// Serves copies of the log's streams, and pieces of them.
@@ -589,10 +595,7 @@
             cluster_sync_.update_reader_role(peers_.alive(now), now);
         }
         state_.pool.expire(now);
-        sessions_.remove_if([](std::weak_ptr<caller_session> const& each) {
-            auto const held = each.lock();
-            return !held || held->is_closed();
-        });
+        intake_.remove_closed();
         note_configuration(now);
         state_.crashes.expire(now);
         state_.gate.expire(now);
@@ -652,12 +655,9 @@
         if (elapsed >= close_idle_after &&
             !std::exchange(stop_closes_idle_, true))
         {
-            for (auto const& each : sessions_)
+            for (auto const& each : intake_.open_sessions())
             {
-                if (auto const session = each.lock())
-                {
-                    session->stop();
-                }
+                each->stop();
             }
         }
         auto const is_cut_due = now >= state_.stop->cut_at;
@@ -708,15 +708,9 @@
     [[nodiscard]] auto sessions_in_use() const
         -> std::vector<std::shared_ptr<caller_session>>
     {
-        auto in_use = std::vector<std::shared_ptr<caller_session>>{};
-        for (auto const& each : sessions_)
-        {
-            auto session = each.lock();
-            if (session && session->is_in_use())
-            {
-                in_use.push_back(std::move(session));
-            }
-        }
+        auto in_use = intake_.open_sessions();
+        std::erase_if(
+            in_use, [](auto const& each) { return !each->is_in_use(); });
         return in_use;
     }
 
@@ -742,7 +736,7 @@
     service_paths paths_;
     std::unique_ptr<listener> callers_;
     std::unique_ptr<listener> control_;
-    std::list<std::weak_ptr<caller_session>> sessions_;
+    caller_intake intake_;
     asio::steady_timer tick_;
     asio::steady_timer stop_timer_;
     std::function<void()> on_stopped_;
--- a/packages/relay/src/caller_session.cpp
+++ b/packages/relay/src/caller_session.cpp
@@ -5,9 +5,15 @@
 namespace sapphirereel::relay {
 namespace {
 
+constexpr auto service_unavailable = 503;
+
 /// Buffered bytes of pipelined requests above which reading pauses while a
 /// request is served.
-constexpr auto max_pipelined_bytes = std::size_t{65'536};
+constexpr auto max_pipelined_bytes = std::size_t{16'384};
+
+/// How often a body is in memory while it is served: as it arrived, and as it
+/// is written to its replica.
+constexpr auto copies_of_served_body = std::size_t{2};
 
 } // namespace
 
@@ -15,22 +21,30 @@
     std::shared_ptr<connection> transport,
     asio::steady_timer timer,
     limits_source limits,
-    request_handler on_request)
+    request_handler on_request,
+    std::shared_ptr<intake_account> intake)
     : connection_(std::move(transport))
     , timer_(std::move(timer))
     , limits_(std::move(limits))
     , on_request_(std::move(on_request))
+    , intake_(std::move(intake))
 {}
 
+caller_session::~caller_session()
+{
+    count_bytes(0);
+}
+
 auto caller_session::start(
     asio::ip::tcp::socket socket,
     limits_source limits,
-    request_handler on_request) -> std::shared_ptr<caller_session>
+    request_handler on_request,
+    std::shared_ptr<intake_account> intake) -> std::shared_ptr<caller_session>
 {
     auto timer = asio::steady_timer{socket.get_executor()};
     auto self = std::shared_ptr<caller_session>{new caller_session{
         connection::adopt(std::move(socket)), std::move(timer),
-        std::move(limits), std::move(on_request)}};
+        std::move(limits), std::move(on_request), std::move(intake)}};
     self->begin();
     return self;
 }
@@ -42,10 +56,7 @@
         {[self](std::string_view bytes) { self->receive(bytes); },
          [self](connection_end) { self->handle_disconnect(); },
          [self] {
-             if (self->drain_handler_)
-             {
-                 self->drain_handler_();
-             }
+             self->drained();
          }});
     arm_timer();
     connection_->read();
@@ -54,15 +65,60 @@
 auto caller_session::receive(std::string_view bytes) -> void
 {
     parser_.append(bytes);
-    if (busy_)
+    if (!busy_)
+    {
+        serve_next();
+        return;
+    }
+    if (parser_.waiting_bytes() > max_pipelined_bytes)
+    {
+        connection_->pause();
+    }
+}
+
+auto caller_session::drained() -> void
+{
+    if (drain_handler_)
+    {
+        drain_handler_();
+    }
+}
+
+auto caller_session::serve_waiting() -> void
+{
+    if (busy_ || !connection_->is_open())
     {
-        if (parser_.waiting_bytes() > max_pipelined_bytes)
-        {
-            connection_->pause();
-        }
         return;
     }
-    serve_next();
+    connection_->read();
+    if (parser_.waiting_bytes() > 0)
+    {
+        serve_next();
+    }
+}
+
+auto caller_session::count_bytes(std::size_t bytes) -> bool
+{
+    if (!intake_)
+    {
+        return true;
+    }
+    if (!intake_->resize(counted_bytes_, bytes))
+    {
+        return false;
+    }
+    counted_bytes_ = bytes;
+    return true;
+}
+
+auto caller_session::take_room(std::size_t bytes) -> bool
+{
+    auto is_taken = count_bytes(bytes);
+    while (!is_taken && make_room_ && make_room_(bytes))
+    {
+        is_taken = count_bytes(bytes);
+    }
+    return is_taken;
 }
 
 auto caller_session::serve_next() -> void
@@ -75,6 +131,13 @@
         reject(next.error());
         return;
     }
+    auto const served_bytes =
+        *next ? (*next)->body.capacity() * copies_of_served_body : 0;
+    if (!take_room(parser_.held_bytes() + served_bytes))
+    {
+        reject_without_room();
+        return;
+    }
     if (parser_.take_continue_wanted())
     {
         connection_->send("HTTP/1.1 100 Continue\r\n\r\n");
@@ -137,6 +200,25 @@
     reject({408, "the request did not arrive in time"});
 }
 
+auto caller_session::end_for_room() -> void
+{
+    if (!busy_)
+    {
+        reject_without_room();
+    }
+}
+
+auto caller_session::set_room_maker(room_maker make_room) -> void
+{
+    make_room_ = std::move(make_room);
+}
+
+auto caller_session::on_rejected(std::function<void(int status)> handler)
+    -> void
+{
+    rejected_handler_ = std::move(handler);
+}
+
 /// A request that has arrived and was not read yet is served.
 auto caller_session::close_if_idle() -> void
 {
@@ -150,9 +232,30 @@
 
 auto caller_session::reject(http::request_error const& error) -> void
 {
+    if (rejected_handler_)
+    {
+        rejected_handler_(error.status);
+    }
+    // What has arrived is not read on; its memory is not needed while the
+    // connection closes.
+    parser_.clear();
     keep_alive_ = false;
     busy_ = true;
-    respond(error.status, {{"Content-Type", "text/plain"}}, error.detail);
+    auto fields = http::field_list{{"Content-Type", "text/plain"}};
+    if (error.status == service_unavailable)
+    {
+        fields.push_back(
+            {"Retry-After", std::to_string(retry_without_room.count())});
+    }
+    respond(error.status, std::move(fields), error.detail);
+}
+
+auto caller_session::reject_without_room() -> void
+{
+    reject(
+        {service_unavailable,
+         "the daemon holds as many bytes of requests as it may; send the "
+         "request again later"});
 }
 
 auto caller_session::connection_fields(http::field_list& fields) const -> void
@@ -206,6 +309,7 @@
     drain_handler_ = {};
     busy_ = false;
     streaming_ = false;
+    count_bytes(parser_.held_bytes());
     if (!keep_alive_)
     {
         timer_.cancel();
@@ -219,12 +323,8 @@
         // Posted to the event loop because the exchange that sent the response
         // is still on the stack.
         auto const executor = timer_.get_executor();
-        asio::post(executor, [self = shared_from_this()] {
-            if (!self->busy_ && self->connection_->is_open())
-            {
-                self->serve_next();
-            }
-        });
+        asio::post(
+            executor, [self = shared_from_this()] { self->serve_waiting(); });
     }
 }
 
--- a/packages/relay/src/connection.cpp
+++ b/packages/relay/src/connection.cpp
@@ -24,6 +24,9 @@
 /// comes first on Linux; this one holds where probes ignore it.
 constexpr auto probe_count = 3;
 
+/// Largest buffer for writing that is kept for the next bytes, in bytes.
+constexpr auto kept_write_bytes = std::size_t{65'536};
+
 /// Time for which input is discarded after the last bytes were written.
 constexpr auto linger_time = std::chrono::milliseconds{500};
 
@@ -257,6 +260,10 @@
         }
         written_ += size;
     }
+    if (pending_.capacity() > kept_write_bytes)
+    {
+        pending_ = std::string{};
+    }
     pending_.clear();
     written_ = 0;
     if (closing_)
--- a/packages/relay/src/listener.cpp
+++ b/packages/relay/src/listener.cpp
@@ -10,10 +10,20 @@
 /// Maximum number of connections that wait to be accepted.
 constexpr auto backlog = 1'024;
 
+/// Time until the next attempt where none can be accepted, as when the process
+/// has no descriptor left: the connection stays in the queue, so that an
+/// attempt at once would fail again.
+constexpr auto pause_after_failure = std::chrono::milliseconds{20};
+
+/// Size of a connection's buffer for bytes that have arrived and were not
+/// read. They count as memory of the process.
+constexpr auto receive_buffer_bytes = 65'536;
+
 } // namespace
 
 listener::listener(asio::ip::tcp::acceptor acceptor, accepted_handler accepted)
     : acceptor_(std::move(acceptor))
+    , pause_(acceptor_.get_executor())
     , accepted_(std::move(accepted))
 {}
 
@@ -31,6 +41,13 @@
         acceptor.set_option(asio::socket_base::reuse_address{true}, error);
     }
     if (!error)
+    {
+        // Accepted connections inherit it.
+        acceptor.set_option(
+            asio::socket_base::receive_buffer_size{receive_buffer_bytes},
+            error);
+    }
+    if (!error)
     {
         acceptor.bind(at, error);
     }
@@ -58,21 +75,33 @@
             {
                 return;
             }
+            if (error)
+            {
+                accept_after_pause();
+                return;
+            }
             run_then(
-                [&] {
-                    if (!error)
-                    {
-                        accepted_(std::move(socket));
-                    }
-                },
+                [&] { accepted_(std::move(socket)); },
                 [this] { accept_next(); });
         });
 }
 
+auto listener::accept_after_pause() -> void
+{
+    pause_.expires_after(pause_after_failure);
+    pause_.async_wait([this](std::error_code error) {
+        if (!error)
+        {
+            accept_next();
+        }
+    });
+}
+
 auto listener::close() -> void
 {
     auto ignored = std::error_code{};
     acceptor_.close(ignored);
+    pause_.cancel();
 }
 
 } // namespace sapphirereel::relay
--- a/packages/relay/src/relay_metrics.cpp
+++ b/packages/relay/src/relay_metrics.cpp
@@ -76,6 +76,8 @@
     "piece_requests_refused",
     "piece_requests_failed",
     "copy_bytes_sent",
+    "arrivals_rejected",
+    "arrivals_without_room",
     "handler_errors"};
 
 constexpr auto timing_names = std::array<
