Hold further requests back while a caller reads no response

Seen: 4,000 requests in a pipeline on each of 60 connections, whose responses are not read, took 199 MB at the peers' port. Cause: each response was buffered and the next request served, whatever the caller had read. Above 64 KiB of unread responses no further request of the connection is served or read now; a connection whose caller reads nothing for the idle time ends, one that is read slowly goes on.

--- a/packages/relay/include/sapphirereel/relay/caller_session.hpp
+++ b/packages/relay/include/sapphirereel/relay/caller_session.hpp
@@ -113,6 +113,16 @@
         return !busy_;
     }
 
+    /// Ends a connection that carries no whole request: with 408 if one has
+    /// begun to arrive; at once if it is closing already.
+    auto end_unserved() -> void;
+
+    /// Whether the connection is being closed and its socket is still open.
+    [[nodiscard]] auto is_closing() const -> bool
+    {
+        return !connection_->is_open() && !connection_->is_closed();
+    }
+
     /// Refuses a request that is arriving, as others need its room.
     auto end_for_room() -> void;
 
@@ -125,6 +135,18 @@
     /// Sets what is asked for room before a request is refused for want of it.
     auto set_room_maker(room_maker make_room) -> void;
 
+    /// Whether a whole request has arrived on the connection.
+    [[nodiscard]] auto has_served() const -> bool
+    {
+        return has_served_;
+    }
+
+    /// When bytes last arrived or a response was completed.
+    [[nodiscard]] auto last_active() const -> time_point
+    {
+        return last_active_;
+    }
+
     /// Sets a handler that is called with the status of each request that is
     /// refused before it has arrived whole.
     auto on_rejected(std::function<void(int status)> handler) -> void;
@@ -144,6 +166,9 @@
     /// enough of the responses before it.
     auto serve_waiting() -> void;
     auto serve_next() -> void;
+    /// Whether so many bytes of responses are buffered that no further request
+    /// is served.
+    [[nodiscard]] auto is_output_blocked() const -> bool;
     /// Counts what is held; returns whether it may be.
     auto count_bytes(std::size_t bytes) -> bool;
     /// The same, after others have made room if there is none.
@@ -158,6 +183,8 @@
     /// Refuses a request that does not arrive in time; gives one whose body
     /// arrives steadily more time.
     auto examine_arrival() -> void;
+    /// Ends a connection whose caller reads nothing of what is buffered.
+    auto examine_output() -> void;
     auto close_if_idle() -> void;
     auto connection_fields(http::field_list& fields) const -> void;
 
@@ -181,6 +208,10 @@
     bool timing_request_ = false;
     /// Bytes of the body that had arrived when the timer was set.
     std::size_t examined_body_bytes_ = 0;
+    /// Bytes of responses that were buffered then.
+    std::size_t examined_unsent_bytes_ = 0;
+    bool has_served_ = false;
+    time_point last_active_;
     std::shared_ptr<intake_account> intake_;
     /// Bytes that the account counts for this connection.
     std::size_t counted_bytes_ = 0;
--- a/packages/relay/src/caller_session.cpp
+++ b/packages/relay/src/caller_session.cpp
@@ -1,5 +1,7 @@
 #include "sapphirereel/relay/caller_session.hpp"
 
+#include "sapphirereel/telemetry/clocks.hpp"
+
 #include <utility>
 
 namespace sapphirereel::relay {
@@ -11,6 +13,10 @@
 /// request is served.
 constexpr auto max_pipelined_bytes = std::size_t{16'384};
 
+/// Buffered bytes of responses above which no further pipelined request is
+/// served.
+constexpr auto max_unread_bytes = std::size_t{65'536};
+
 /// How often a body is in memory while it is served: as it arrived, and as it
 /// is written to its replica.
 constexpr auto copies_of_served_body = std::size_t{2};
@@ -27,6 +33,7 @@
     , timer_(std::move(timer))
     , limits_(std::move(limits))
     , on_request_(std::move(on_request))
+    , last_active_(telemetry::monotonic_now())
     , intake_(std::move(intake))
 {}
 
@@ -64,8 +71,9 @@
 
 auto caller_session::receive(std::string_view bytes) -> void
 {
+    last_active_ = telemetry::monotonic_now();
     parser_.append(bytes);
-    if (!busy_)
+    if (!busy_ && !is_output_blocked())
     {
         serve_next();
         return;
@@ -81,12 +89,19 @@
     if (drain_handler_)
     {
         drain_handler_();
+        return;
     }
+    serve_waiting();
+}
+
+auto caller_session::is_output_blocked() const -> bool
+{
+    return connection_->unsent_bytes() > max_unread_bytes;
 }
 
 auto caller_session::serve_waiting() -> void
 {
-    if (busy_ || !connection_->is_open())
+    if (busy_ || !connection_->is_open() || is_output_blocked())
     {
         return;
     }
@@ -152,6 +167,7 @@
         return;
     }
     busy_ = true;
+    has_served_ = true;
     timing_request_ = false;
     timer_.cancel();
     keep_alive_ = (*next)->keep_alive && !stopping_;
@@ -164,6 +180,7 @@
     auto const limits = limits_();
     timing_request_ = parser_.has_partial();
     examined_body_bytes_ = parser_.body_bytes();
+    examined_unsent_bytes_ = connection_->unsent_bytes();
     timer_.expires_after(
         timing_request_ ? limits.head_timeout : limits.idle_timeout);
     timer_.async_wait([weak = weak_from_this()](std::error_code error) {
@@ -177,6 +194,11 @@
 
 auto caller_session::timed_out() -> void
 {
+    if (is_output_blocked())
+    {
+        examine_output();
+        return;
+    }
     if (timing_request_)
     {
         examine_arrival();
@@ -200,6 +222,32 @@
     reject({408, "the request did not arrive in time"});
 }
 
+auto caller_session::examine_output() -> void
+{
+    if (connection_->unsent_bytes() < examined_unsent_bytes_)
+    {
+        arm_timer();
+        return;
+    }
+    abort();
+}
+
+auto caller_session::end_unserved() -> void
+{
+    if (busy_)
+    {
+        return;
+    }
+    if (is_closing() || !parser_.has_partial())
+    {
+        // Nothing is sent that a reset could overtake, or there was time.
+        timer_.cancel();
+        connection_->close();
+        return;
+    }
+    reject({408, "the daemon has too many connections"});
+}
+
 auto caller_session::end_for_room() -> void
 {
     if (!busy_)
@@ -309,6 +357,7 @@
     drain_handler_ = {};
     busy_ = false;
     streaming_ = false;
+    last_active_ = telemetry::monotonic_now();
     count_bytes(parser_.held_bytes());
     if (!keep_alive_)
     {
@@ -317,6 +366,11 @@
         return;
     }
     arm_timer();
+    if (is_output_blocked())
+    {
+        connection_->pause();
+        return;
+    }
     connection_->read();
     if (parser_.waiting_bytes() > 0)
     {
