End the stalest connection where callers hold too many

Seen: 700 connections that send nothing, or half a head, took every descriptor of a process that may open 700, so that none was left for replicas, peers and the store; the failed accept was tried again without a pause. Where there are more, one that is closing ends, else the one that has waited longest for a request, first among those that never carried a whole one; never one that carries a request.

--- a/packages/relay/include/sapphirereel/relay/caller_intake.hpp
+++ b/packages/relay/include/sapphirereel/relay/caller_intake.hpp
@@ -23,6 +23,8 @@
 {
     /// Memory of the daemon; 0 if its limit is not known.
     double memory_bytes = 0;
+    /// Descriptors that the daemon may have open; 0 if that is not known.
+    std::size_t descriptors = 0;
     auto operator<=>(intake_limits const&) const = default;
 };
 
@@ -34,7 +36,7 @@
     caller_intake(
         intake_limits const& limits, process_log& log, relay_metrics& metrics);
 
-    /// Serves a connection.
+    /// Serves a connection. Where there are too many, another one ends.
     auto accept(
         asio::ip::tcp::socket socket,
         caller_session::limits_source limits,
--- a/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
@@ -87,10 +87,12 @@
     piece_requests_failed,
     /// Bytes of copies of the log that were handed to connections of peers.
     copy_bytes_sent,
-    /// Requests that were refused before they had arrived whole, and those of
-    /// them for which there was no room.
+    /// Requests that were refused before they had arrived whole, those of them
+    /// for which there was no room, and connections that ended because there
+    /// were too many.
     arrivals_rejected,
     arrivals_without_room,
+    sessions_ended,
     /// Exceptions of handlers, each of which ended its connection alone.
     handler_errors,
     count_of_counters
--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -97,7 +97,10 @@
               settings_.zone,
               [this] { interrupt_requests(interruption::poison); })
         , paths_(state_, peers_, settings_.peers.port)
-        , intake_({settings_.memory_bytes}, state_.log, state_.metrics)
+        , intake_(
+              {settings_.memory_bytes, settings_.max_descriptors},
+              state_.log,
+              state_.metrics)
         , tick_(loop)
         , stop_timer_(loop)
     {
--- a/packages/relay/include/sapphirereel/relay/relay_settings.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_settings.hpp
@@ -57,6 +57,8 @@
     double link_bytes_per_second = 0;
     /// Memory of this daemon; 0 if its limit is not known.
     double memory_bytes = 0;
+    /// Descriptors that this daemon may have open; 0 if that is not known.
+    std::size_t max_descriptors = 0;
     auto operator<=>(relay_settings const&) const = default;
 };
 
--- a/packages/relay/src/caller_intake.cpp
+++ b/packages/relay/src/caller_intake.cpp
@@ -21,6 +21,7 @@
         account_->set_limit(static_cast<std::size_t>(
             limits.memory_bytes * intake_share_of_memory));
     }
+    sessions_.set_limit(max_sessions_for(limits.descriptors));
 }
 
 auto caller_intake::accept(
@@ -36,7 +37,10 @@
     });
     session->set_room_maker(
         [this](std::size_t wanted) { return sessions_.end_largest(wanted); });
-    sessions_.add(session);
+    if (sessions_.add(session))
+    {
+        metrics_.add(relay_counter::sessions_ended);
+    }
     return session;
 }
 
--- a/packages/relay/src/relay_metrics.cpp
+++ b/packages/relay/src/relay_metrics.cpp
@@ -78,6 +78,7 @@
     "copy_bytes_sent",
     "arrivals_rejected",
     "arrivals_without_room",
+    "sessions_ended",
     "handler_errors"};
 
 constexpr auto timing_names = std::array<
