Soak: crowds of clients that do not behave, and the memory of each process

A further series now sends crowds of 8 to 16 connections for a second or two to one daemon, most at the callers' port, else at the directory's, readiness' or peers': bodies over the limit, announced, sent whole or without end; bodies that stop short of their end and stay open, with a length, in chunks of 64 KB and of one byte; heads without end; nothing at all. Each kind comes before any comes again. Ordinary callers and all other faults go on; crowds have draws of their own, so that seeds keep their other faults.

The configuration states its limits (8 MiB of body), the settings the memory of the machine (110 MB).

--- a/test/correctness/soak/promises_test.py
+++ b/test/correctness/soak/promises_test.py
@@ -2,6 +2,7 @@
 
 import os
 import random
+import subprocess
 import sys
 import unittest
 
@@ -11,6 +12,7 @@
 import odd_entries  # noqa: E402
 import promises  # noqa: E402
 from callers import Outcome  # noqa: E402
+from crowds import CrowdAnswer  # noqa: E402
 from daemons import Build, Daemon  # noqa: E402
 from replicas import Replica, Run  # noqa: E402
 from spans import Spans  # noqa: E402
@@ -300,6 +302,38 @@
         self.assertEqual("old", daemon.build_at(4.9))
         self.assertEqual("new", daemon.build_at(5.0))
 
+    def test_crowds_are_refused(self):
+        def answered(status):
+            got = CrowdAnswer("daemon", "endless at callers", status, "new")
+            return list(promises.crowds_answered([got]))
+
+        for status in (400, 408, 413, 431, 503):
+            self.assertFalse(answered(status))
+        for status in (0, 200, 500, 502, 504):
+            self.assertTrue(answered(status))
+
+    def test_processes_stay_within_their_memory(self):
+        def over(*peaks_mb, build="new"):
+            daemon = Daemon(Build("new", ""), "", "127.0.0.1", "z", [])
+            daemon.memory_peaks = [(build, peak * 1_000_000) for peak in peaks_mb]
+            return list(promises.over_memory([daemon]))
+
+        self.assertFalse(over())
+        self.assertFalse(over(20, 110))
+        self.assertEqual(1, len(over(20, 111, 112)))
+        self.assertFalse(promises.fails(over(111, build=promises.OLD_BUILD)))
+
+    def test_the_most_memory_of_a_process_is_noted(self):
+        daemon = Daemon(Build("new", ""), "", "127.0.0.1", "z", [])
+        daemon.process = subprocess.Popen(["sleep", "60"])
+        self.addCleanup(daemon.process.wait)
+        self.addCleanup(daemon.process.kill)
+        daemon._starts = [(1.0, "new")]
+        daemon.note_memory()
+        [(build, peak)] = daemon.memory_peaks
+        self.assertEqual("new", build)
+        self.assertGreater(peak, 0)
+
     def test_service_comes_back(self):
         served = [outcome()] * 99
         lost = outcome(status=0, whole=False)
--- a/tools/soak.d/configuration.py
+++ b/tools/soak.d/configuration.py
@@ -5,6 +5,10 @@
 
 REQUEST_TIMEOUT_MS = 5_000
 TARGET_LATENCY_MS = 500
+MOST_HEAD_BYTES = 16_384
+# So large that a few bodies that are kept would exceed a daemon's memory.
+MOST_BODY_BYTES = 8 * 1_024 * 1_024
+HEAD_TIMEOUT_MS, IDLE_TIMEOUT_MS = 3_000, 15_000
 
 
 def route(name, kind, service, **more):
@@ -50,4 +54,8 @@
         "tenants": [
             {"name": name, "api-keys": [key]} for key, name in customers.items()
         ],
+        "limits": {
+            "max-header-bytes": MOST_HEAD_BYTES, "max-body-bytes": MOST_BODY_BYTES,
+            "header-timeout-ms": HEAD_TIMEOUT_MS, "idle-timeout-ms": IDLE_TIMEOUT_MS,
+        },
     }
--- a/tools/soak.d/daemons.py
+++ b/tools/soak.d/daemons.py
@@ -18,6 +18,9 @@
 # carries no more.
 LINK_MBPS = 10
 BYTES_PER_MEGABIT = 125_000
+# The memory of its machine.
+MEMORY_MB = 110
+BYTES_PER_MB, BYTES_PER_KIB = 1_000_000, 1_024
 
 
 @dataclass(frozen=True)
@@ -42,6 +45,8 @@
         self._touches = []
         # Whether its end was asked for.
         self.may_end = False
+        # Most memory that its processes held so far: the build's name and bytes.
+        self.memory_peaks = []
         # What the next start runs.
         self.build = build
         # Starts so far: the moment and the build's name.
@@ -62,6 +67,14 @@
     def directory(self):
         return f"{self.ip}:{DIRECTORY_PORT}"
 
+    @property
+    def ready(self):
+        return f"{self.ip}:{READY_PORT}"
+
+    @property
+    def peers(self):
+        return f"{self.ip}:{PEER_PORT}"
+
     @property
     def log_path(self):
         return os.path.join(self._folder, f"{self.name}.log")
@@ -78,6 +91,7 @@
             "bounds.retry-budget-ratio": 0.2, "bounds.budget-slack": 60,
             "bounds.budget-window-s": 10, "bounds.grace-s": GRACE_S,
             "bounds.drain-ms": DRAIN_MS, "limits.link-mbps": LINK_MBPS,
+            "limits.memory-mb": MEMORY_MB,
         }
         path = os.path.join(self._folder, f"{self.name}.boot")
         with open(path, "w") as file:
@@ -102,6 +116,8 @@
     def send(self, number):
         """Signals this process, and no other."""
         self.touch()
+        if number in (signal.SIGKILL, signal.SIGTERM):
+            self.note_memory()
         if number in (signal.SIGKILL, signal.SIGSTOP):
             self.outages.note(True)
         if number == signal.SIGCONT:
@@ -111,6 +127,15 @@
         if self.process.poll() is None:
             self.process.send_signal(number)
 
+    def note_memory(self):
+        """Notes the most memory that its process has held, unless it has ended."""
+        if self.ended():
+            return
+        with open(f"/proc/{self.process.pid}/status") as file:
+            peaks = [line.split()[1] for line in file if line.startswith("VmHWM:")]
+        build = self._starts[-1][1]
+        self.memory_peaks += [(build, int(kib) * BYTES_PER_KIB) for kib in peaks]
+
     def ended(self):
         return self.process.poll() is not None
 
--- a/tools/soak.d/promises.py
+++ b/tools/soak.d/promises.py
@@ -5,7 +5,7 @@
 
 import odd_entries
 import replicas as serving
-from daemons import DRAIN_MS
+from daemons import BYTES_PER_MB, DRAIN_MS, MEMORY_MB
 from findings import Finding
 
 # Bounds of this deployment, in seconds.
@@ -35,6 +35,8 @@
 OLD_BUILD = "old"
 
 NOT_RUN = (408, 421, 429, 503)
+# What a client that does not behave may be told; else its connection is closed.
+CROWD_ANSWERS = (400, 408, 413, 431, 503)
 MOST_RUNS = {"safe": 2, "resume": 3}
 
 
@@ -284,6 +286,29 @@
             yield daemon.finding(f"ended by itself: {daemon.process.returncode}")
 
 
+def crowds_answered(answers):
+    """Clients that do not behave get refusals, or their connection is closed."""
+    for got in answers:
+        if got.status not in CROWD_ANSWERS:
+            yield Finding(
+                f"{got.daemon} answered {got.status} to a crowd, {got.kind}", got.build
+            )
+
+
+def over_memory(daemons):
+    """Processes that held more than their machine has; one finding each."""
+    for daemon in daemons:
+        most = {}
+        for build, peak in daemon.memory_peaks:
+            most[build] = max(peak, most.get(build, 0))
+        for build, peak in most.items():
+            if peak > MEMORY_MB * BYTES_PER_MB:
+                peak_mb = peak / BYTES_PER_MB
+                yield Finding(
+                    f"{daemon.name} held {peak_mb:.0f} MB of {MEMORY_MB} MB", build
+                )
+
+
 def not_recovered(outcomes):
     served = sum(got.status == 200 and got.whole for got in outcomes)
     if served < LEAST_SHARE_SERVED_AT_REST * len(outcomes):
--- a/tools/soak.d/soak.py
+++ b/tools/soak.d/soak.py
@@ -18,8 +18,9 @@
 import promises
 import store as platform
 import verdict
+from crowds import Crowds
 from daemon_faults import DaemonFaults
-from daemons import Build, Daemon
+from daemons import BYTES_PER_MB, Build, Daemon
 from fleet import Fleet, addresses
 from replica_faults import ReplicaFaults
 from model_replicas import ModelReplica
@@ -48,6 +49,8 @@
 CUSTOMERS = {f"key-{number}": f"customer-{number}" for number in range(40)}
 # One model replica in so many works on after its stream was cut.
 WORKING_ON = 3
+# Longest pause from one crowd of clients that do not behave to the next.
+LONGEST_PAUSE_OF_CROWDS_S = 1.0
 # How much longer than it must a replica serves that leaves.
 LONGER_S = 0.8
 # A pause of the stand-ins' own loop above which what they note is late.
@@ -84,6 +87,7 @@
             for at, ip in enumerate(ips)
         ]
         self.daemon_faults = DaemonFaults(self.random, self.findings, self.publish)
+        self.crowds = Crowds(random.Random(f"{seed}.crowds"))
         self.odd_entries_left = MOST_ODD_ENTRIES
         self.replica_faults = ReplicaFaults(self.random)
         self.rollout = None
@@ -328,11 +332,12 @@
         return self.random.choice(kinds)
 
     async def disturb(self, seconds):
-        """Two series of faults that overlap; each ends before the run does."""
+        """Series of faults that overlap; each ends before the run does."""
         end = time.monotonic() + seconds
         series = [
             self.series(end, self.next_fault, 1.2),
             self.series(end, self.next_answer_fault, 2.0),
+            self.series_of_crowds(end),
         ]
         if self.rollout:
             series.append(self.rollout.run(seconds))
@@ -347,6 +352,17 @@
             pause_s = self.random.uniform(0.1, longest_pause_s)
             await asyncio.sleep(pause_s / self.scale)
 
+    async def series_of_crowds(self, end):
+        """One crowd after the other; ordinary callers go on."""
+        draws = self.crowds.random
+        while time.monotonic() < end:
+            up = [each for each in self.daemons if not each.ended()]
+            if up:
+                name, run = self.crowds.next(draws.choice(up))
+                self.note(name)
+                await run()
+            await asyncio.sleep(draws.uniform(0, LONGEST_PAUSE_OF_CROWDS_S))
+
     # The run.
 
     async def traffic(self, seconds, first):
@@ -373,6 +389,8 @@
         outcomes += await self.leave_in_calm()
         at_rest = await self.traffic(REST_S, 2 * self.fleet.callers)
         watching.cancel()
+        for each in self.daemons:
+            each.note_memory()
         self.findings += verdict.findings(self, outcomes + at_rest, at_rest)
         # Connections that still stand are cut off with the loop, which is no error.
         asyncio.get_running_loop().set_exception_handler(lambda *_: None)
@@ -384,6 +402,12 @@
         copied = sum(each.copied_refusals for each in replicas)
         return f"refusals by replicas: {refused}, copies beside a run: {copied}"
 
+    def summary_of_crowds(self):
+        statuses = sorted({got.status for got in self.crowds.answers})
+        peaks = [peak for each in self.daemons for _, peak in each.memory_peaks]
+        most_mb = max(peaks) / BYTES_PER_MB
+        return f"crowds were answered {statuses}; most memory: {most_mb:.0f} MB"
+
     def close(self):
         for each in self.daemons:
             each.kill()
@@ -437,6 +461,7 @@
         soak.close()
     print(f"seed {options.seed}: {len(outcomes)} requests: {summary(outcomes)}")
     print(soak.summary_of_refusals())
+    print(soak.summary_of_crowds())
     report(soak.findings)
     print(f"logs: {folder}")
     return 1 if promises.fails(soak.findings) else 0
--- a/tools/soak.d/verdict.py
+++ b/tools/soak.d/verdict.py
@@ -13,6 +13,8 @@
         *of_callers(soak, outcomes, replicas),
         *of_replicas(soak, replicas),
         *promises.ended_unasked(soak.daemons),
+        *promises.crowds_answered(soak.crowds.answers),
+        *promises.over_memory(soak.daemons),
         *promises.not_recovered(at_rest),
     ]
 
