--- a/test/support/daemon/cluster.hpp
+++ b/test/support/daemon/cluster.hpp
@@ -28,11 +28,13 @@
     }
 }
 
-/// How many engines a cluster has, and more of their flags.
+/// How many engines a cluster has, more of their flags, and more lines of the
+/// daemons' section `[callers]`.
 struct cluster_settings
 {
     int engines = 2;
     std::vector<std::string> engine_flags = {};
+    std::string caller_settings = {};
 };
 
 /// Three daemons, engines, one plain service and the platform.
@@ -237,7 +239,8 @@
              << "\nvm_list_address = " << text_of(vm_list())
              << "\nweight_store_address = " << text_of(weights())
              << "\nvm_list_interval = 200ms\n"
-             << "[callers]\naddress_validity = 1s\n[log]\nlevel = error\n";
+             << "[callers]\naddress_validity = 1s\n"
+             << settings_.caller_settings << "[log]\nlevel = error\n";
         file.close();
         start(
             "daemon-" + std::to_string(i), "sapphirereeld",
