Bound the bodies of callers, each and all together, in the daemon

Cause: the daemon let its HTTP library read each body whole before the handler ran. The library bounds stated lengths only, not bodies in chunks, and nothing counted the bodies of all connections together.

Now the daemon reads bodies itself, for every method and path. A body over `[callers] max_body_bytes` gets 413, or is refused by its stated length before it is read. Bodies that together pass the new `[callers] max_bodies_bytes` (64 MiB by default, at least twice the limit of one) get 503 `overloaded`, not run, with Retry-After; the last quarter is kept for bodies up to 64 KiB. Each of these ends its connection. A deletion in chunks, which ran without its body, gets 411. Paths and methods that nothing takes get 404 with the body unread. The daemon's allocator returns blocks from 128 KiB on to the system: it kept what the threads of refused bodies had freed, 97 MB of growth for a bound of 64 MiB.

--- a/packages/daemon/include/sapphirereel/daemon/caller_server.hpp
+++ b/packages/daemon/include/sapphirereel/daemon/caller_server.hpp
@@ -3,6 +3,7 @@
 #ifndef SAPPHIREREEL_DAEMON_CALLER_SERVER_HPP
 #define SAPPHIREREEL_DAEMON_CALLER_SERVER_HPP
 
+#include "sapphirereel/daemon/body_reader.hpp"
 #include "sapphirereel/daemon/caller_channel.hpp"
 #include "sapphirereel/daemon/core_loop.hpp"
 #include "sapphirereel/daemon/operator_routes.hpp"
@@ -69,6 +70,7 @@
     core_loop& loop_;
     caller_table& callers_;
     request_naming names_;
+    body_reader bodies_;
     httplib::Server server_;
     int listening_socket_ = -1;
     int port_ = 0;
--- a/packages/daemon/include/sapphirereel/daemon/operator_routes.hpp
+++ b/packages/daemon/include/sapphirereel/daemon/operator_routes.hpp
@@ -3,6 +3,7 @@
 #ifndef SAPPHIREREEL_DAEMON_OPERATOR_ROUTES_HPP
 #define SAPPHIREREEL_DAEMON_OPERATOR_ROUTES_HPP
 
+#include "sapphirereel/daemon/body_reader.hpp"
 #include "sapphirereel/daemon/core_loop.hpp"
 #include "sapphirereel/daemon/metrics.hpp"
 #include "sapphirereel/daemon/operator_desk.hpp"
@@ -21,8 +22,10 @@
     metrics& all_metrics;
 };
 
-/// Adds the routes under `/operator/`.
-auto add_operator_routes(httplib::Server& server, operator_parts parts) -> void;
+/// Adds the routes under `/operator/`. The reader of bodies outlives the
+/// server.
+auto add_operator_routes(
+    httplib::Server& server, operator_parts parts, body_reader& bodies) -> void;
 
 } // namespace sapphirereel::daemon
 
--- a/packages/daemon/include/sapphirereel/daemon/settings.hpp
+++ b/packages/daemon/include/sapphirereel/daemon/settings.hpp
@@ -53,6 +53,7 @@
     std::int64_t max_connections = 0;
     std::int64_t max_queued_connections = 0;
     std::int64_t max_body_bytes = 0;
+    std::int64_t max_bodies_bytes = 0;
     std::int64_t keep_alive_requests = 0;
     duration keep_alive_timeout{};
     duration read_timeout{};
--- a/packages/daemon/src/caller_server.cpp
+++ b/packages/daemon/src/caller_server.cpp
@@ -40,6 +40,13 @@
         std::chrono::seconds{2}};
 }
 
+auto limits_of(caller_settings const& callers) -> body_limits
+{
+    return {
+        static_cast<std::size_t>(callers.max_body_bytes),
+        static_cast<std::size_t>(callers.max_bodies_bytes)};
+}
+
 auto address_text(socket_address const& address) -> std::string
 {
     return address.ip + ":" + std::to_string(address.port);
@@ -81,10 +88,12 @@
     , loop_(loop)
     , callers_(callers)
     , names_(seed)
+    , bodies_(limits_of(settings.callers))
 {
     configure();
     add_routes();
-    add_operator_routes(server_, operators);
+    add_operator_routes(server_, operators, bodies_);
+    add_unread_routes(server_);
 }
 
 caller_server::~caller_server()
@@ -130,7 +139,11 @@
         listening_socket_ = socket;
     });
     server_.set_pre_routing_handler(
-        [](httplib::Request const&, httplib::Response& response) {
+        [](httplib::Request const& request, httplib::Response& response) {
+            if (refuse_unreadable(request, response))
+            {
+                return httplib::Server::HandlerResponse::Handled;
+            }
             if (!refusing_thread())
             {
                 return httplib::Server::HandlerResponse::Unhandled;
@@ -160,14 +173,17 @@
 {
     server_.Post(
         "/v1/chat/completions",
-        [this](httplib::Request const& request, httplib::Response& response) {
-            generate(codec::openai_kind::chat, request, response);
-        });
+        bodies_.whole(
+            [this](
+                httplib::Request const& request, httplib::Response& response) {
+                generate(codec::openai_kind::chat, request, response);
+            }));
     server_.Post(
-        "/v1/completions",
-        [this](httplib::Request const& request, httplib::Response& response) {
+        "/v1/completions", bodies_.whole([this](
+                                             httplib::Request const& request,
+                                             httplib::Response& response) {
             generate(codec::openai_kind::text, request, response);
-        });
+        }));
     server_.Get(
         "/v1/models",
         [this](httplib::Request const&, httplib::Response& response) {
@@ -184,9 +200,11 @@
         };
     constexpr auto services = "/services/.*";
     server_.Get(services, pass_on);
-    server_.Post(services, pass_on);
-    server_.Put(services, pass_on);
-    server_.Patch(services, pass_on);
+    server_.Post(services, bodies_.whole(pass_on));
+    server_.Put(services, bodies_.whole(pass_on));
+    server_.Patch(services, bodies_.whole(pass_on));
+    server_.Delete(services, bodies_.whole(pass_on));
+    // The library takes this one for a deletion without a stated length.
     server_.Delete(services, pass_on);
     server_.Options(services, pass_on);
 }
--- a/packages/daemon/src/operator_routes.cpp
+++ b/packages/daemon/src/operator_routes.cpp
@@ -117,7 +117,8 @@
 
 } // namespace
 
-auto add_operator_routes(httplib::Server& server, operator_parts parts) -> void
+auto add_operator_routes(
+    httplib::Server& server, operator_parts parts, body_reader& bodies) -> void
 {
     server.Get("/operator/status", [parts](request const&, response& answer) {
         auto const json =
@@ -140,9 +141,10 @@
             write_json(json.dump(), answer);
         });
     server.Post(
-        "/operator/edits", [parts](request const& asked, response& answer) {
+        "/operator/edits",
+        bodies.whole([parts](request const& asked, response& answer) {
             propose(parts, asked, answer);
-        });
+        }));
     server.Get(
         "/operator/edits/(.+)",
         [parts](request const& asked, response& answer) {
@@ -153,17 +155,20 @@
             answer_in_force(parts, asked, answer);
         });
     server.Post(
-        "/operator/explain", [parts](request const& asked, response& answer) {
+        "/operator/explain",
+        bodies.whole([parts](request const& asked, response& answer) {
             explain(parts, asked, answer);
-        });
+        }));
     server.Post(
-        "/operator/drain", [parts](request const& asked, response& answer) {
+        "/operator/drain",
+        bodies.whole([parts](request const& asked, response& answer) {
             drain(parts, asked, answer);
-        });
+        }));
     server.Post(
-        "/operator/record", [parts](request const& asked, response& answer) {
+        "/operator/record",
+        bodies.whole([parts](request const& asked, response& answer) {
             set_recording(parts, asked, answer);
-        });
+        }));
     server.Get("/metrics", [parts](request const&, response& answer) {
         parts.loop.read_metrics();
         answer.set_content(
--- a/packages/daemon/src/sapphirereeld_main.cpp
+++ b/packages/daemon/src/sapphirereeld_main.cpp
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <cstdio>
 #include <fmt/format.h>
+#include <malloc.h>
 #include <sodium.h>
 #include <string>
 
@@ -28,6 +29,11 @@
 constexpr auto exit_failed = 1;
 constexpr auto exit_user_error = 2;
 
+/// Smallest allocation, in bytes, that goes back to the system when it is
+/// freed. Left to itself, the allocator raises it with the first large body,
+/// and each connection's thread then keeps what later ones freed.
+constexpr auto returned_allocation = 128 << 10;
+
 auto print(findings const& problems) -> void
 {
     for (auto const& one : problems)
@@ -70,6 +76,7 @@
         return exit_done;
     }
     std::signal(SIGPIPE, SIG_IGN);
+    mallopt(M_MMAP_THRESHOLD, returned_allocation);
     if (sodium_init() < 0)
     {
         fmt::print(stderr, "the cryptographic library cannot start\n");
--- a/packages/daemon/src/settings_conflicts.cpp
+++ b/packages/daemon/src/settings_conflicts.cpp
@@ -54,6 +54,13 @@
      },
      "customer_max_waiting is larger than max_waiting_requests",
      "make customer_max_waiting smaller"},
+    {"callers.max_bodies_bytes", "callers.max_body_bytes",
+     [](settings const& s) {
+         return s.callers.max_body_bytes <= s.callers.max_bodies_bytes / 2;
+     },
+     "max_bodies_bytes is less than twice max_body_bytes, so the largest body "
+     "could never be read",
+     "make max_bodies_bytes larger, or max_body_bytes smaller"},
     {"callers.heartbeat_interval", "callers.write_timeout",
      [](settings const& s) {
          return s.callers.heartbeat_interval < s.callers.write_timeout;
--- a/packages/daemon/src/settings_table.cpp
+++ b/packages/daemon/src/settings_table.cpp
@@ -103,6 +103,11 @@
         "callers", "max_body_bytes", bytes, "4MiB", false, "1KiB", "1GiB",
         "Largest request body.",
         put<&settings::callers, &caller_settings::max_body_bytes>},
+    setting_key{
+        "callers", "max_bodies_bytes", bytes, "64MiB", false, "2KiB", "64GiB",
+        "Most bytes of all request bodies together; those over 64 KiB may use "
+        "three quarters of it. At least twice `max_body_bytes`.",
+        put<&settings::callers, &caller_settings::max_bodies_bytes>},
     setting_key{
         "callers", "keep_alive_requests", count, "100", false, "1", "1000000",
         "Most requests on one connection.",
--- a/test/error/daemon/settings_report_all_findings.cpp
+++ b/test/error/daemon/settings_report_all_findings.cpp
@@ -72,6 +72,15 @@
     EXPECT_EQ(errors[0].where, (place{"test.ini", 13, "limits.claim_window"}));
 }
 
+TEST(settings_errors, name_a_bound_of_all_bodies_that_one_would_pass)
+{
+    auto const errors =
+        errors_of(minimal_settings + "[callers]\nmax_bodies_bytes = 7MiB\n");
+    ASSERT_EQ(errors.size(), 1U);
+    EXPECT_EQ(
+        errors[0].where, (place{"test.ini", 13, "callers.max_bodies_bytes"}));
+}
+
 TEST(settings_errors, refuse_host_names_and_bad_ports)
 {
     for (auto const* const address :
