Test of unfinished bodies: memory is measured without sanitizers alone

Under the address sanitizer unfinished_bodies.share_a_bound failed: 205 MB against 131, as the sanitizer keeps what is freed and adds its own. The figure of a process says nothing there, so that the check of it holds in the plain build, where it is as strict as before; all other checks of the test stay in each.

--- a/test/error/daemon/unfinished_bodies_share_a_bound.cpp
+++ b/test/error/daemon/unfinished_bodies_share_a_bound.cpp
@@ -18,6 +18,17 @@
 /// threads and buffers of the connections.
 constexpr auto most_growth = (64 + 24) * mebibyte;
 
+/// Whether the memory of a process is that of its own code: sanitizers add
+/// theirs and keep what is freed.
+#if defined(__has_feature)
+#define SAPPHIREREEL_HAS_FEATURE(name) __has_feature(name)
+#else
+#define SAPPHIREREEL_HAS_FEATURE(name) 0
+#endif
+constexpr auto is_memory_own = SAPPHIREREEL_HAS_FEATURE(address_sanitizer) +
+                                   SAPPHIREREEL_HAS_FEATURE(thread_sanitizer) ==
+                               0;
+
 auto resident_bytes(socket_address const& daemon) -> std::size_t
 {
     auto client = httplib::Client{daemon.ip, daemon.port};
@@ -55,7 +66,10 @@
     }
     std::this_thread::sleep_for(std::chrono::milliseconds{500});
     auto const beside = resident_bytes(world.daemon(0));
-    EXPECT_LT(beside, before + most_growth);
+    if (is_memory_own)
+    {
+        EXPECT_LT(beside, before + most_growth);
+    }
     EXPECT_EQ(call_by_name(world.daemon(0), fresh_name(1)), told::answered);
 
     auto refused = 0;
