--- a/review/10/platform_standins.py
+++ b/review/10/platform_standins.py
@@ -98,9 +98,8 @@
 class Replica:
     """Runs each request for `work_s`; a request that expects another replica gets 421."""
 
-    def __init__(self, name, service, zone, work_s, slots, answer_bytes=800):
+    def __init__(self, name, service, zone, work_s, slots):
         self.name, self.service, self.zone = name, service, zone
-        self.answer_bytes = answer_bytes
         self.work_s, self.slots = work_s, slots
         # (moment of arrival, request id, tenant, whether it was answered)
         self.runs = []
@@ -163,6 +162,6 @@
         self._running -= 1
         writer.write(message("HTTP/1.1 200 OK", told | {
             "X-Sapphirereel-Response-Signature": f"s-{request}",
-            "X-Sapphirereel-Replica-Load": load}, b"x" * self.answer_bytes))
+            "X-Sapphirereel-Replica-Load": load}, b"x" * 800))
         await writer.drain()
         run[3] = not writer.is_closing()
