Soak: readers of the store are lost, and versions and drains are judged by the pages' bounds

Versions were judged after 9 s and drains after 5 s; now after 2, 3 or 4 s by the number of daemons. Drains count for each daemon that was calm itself, whatever happens to others: the check was silent while any daemon was disturbed.

--- a/test/correctness/soak/promises_test.py
+++ b/test/correctness/soak/promises_test.py
@@ -9,8 +9,10 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "..", "..", "tools", "soak.d"))
 
+import lost_readers  # noqa: E402
 import odd_entries  # noqa: E402
 import promises  # noqa: E402
+from bounds import Bounds  # noqa: E402
 from callers import Outcome  # noqa: E402
 from crowds import CrowdAnswer  # noqa: E402
 from daemons import Build, Daemon  # noqa: E402
@@ -99,6 +101,39 @@
         self.assertFalse(late(101.7, lambda daemon, *_: daemon._touches.append(100.0)))
         self.assertFalse(late(101.7, lambda _, __, lags: lags.note(True, 101.5)))
 
+    def test_leaving_replicas_are_left_alone(self):
+        def late(at, disturb=None, daemons=6):
+            daemon = Daemon(Build("new", ""), "", "127.0.0.1", "z", [])
+            replica, store, lags = Replica("plain", "z", {}), Store(), Spans()
+            replica.left_at = 100.0
+            replica.after_notice = [("r", at)]
+            if disturb:
+                disturb(daemon, store, lags)
+            got = Outcome("r", "unsafe", "key", daemon.callers, at - 0.1)
+            bounds = Bounds.of_daemons(daemons)
+            return list(
+                promises.late_at_leaving(
+                    [got], [daemon], [replica], store, lags, bounds
+                )
+            )
+
+        self.assertFalse(late(102.05))
+        self.assertTrue(late(102.2))
+        # Larger deployments have more time.
+        self.assertFalse(late(102.2, daemons=90))
+        self.assertTrue(late(103.2, daemons=90))
+        self.assertFalse(late(103.2, daemons=295))
+        # Not where the store was not stable, the daemon disturbed, or the loop late.
+        self.assertFalse(late(102.2, lambda _, store, __: store.outages.append((96, 98))))
+        self.assertFalse(late(102.2, lambda daemon, *_: daemon._touches.append(100.0)))
+        self.assertFalse(late(102.2, lambda _, __, lags: lags.note(True, 102.0)))
+
+    def test_readers_are_lost_in_the_order_in_which_they_read(self):
+        places = [("10.0.0.2", "a"), ("10.0.0.1", "a"), ("10.1.0.1", "b")]
+        made = [Daemon(Build("new", ""), "", ip, zone, []) for ip, zone in places]
+        ordered = [each.ip for each in lost_readers.in_order(made)]
+        self.assertEqual(ordered, ["10.0.0.1", "10.1.0.1", "10.0.0.2"])
+
     def test_refusals_are_true(self):
         refused = outcome(status=503, signature="")
         self.assertFalse(found(promises.refused_and_run, refused, []))
--- a/tools/soak.d/daemons.py
+++ b/tools/soak.d/daemons.py
@@ -14,6 +14,8 @@
 GRACE_S = 8
 # For how long a replica that leaves goes on to serve.
 DRAIN_MS = 1_500
+# Until when a version is in force.
+CONFIGURATION_MS = 2_000
 # The link of a weak VM: copies for peers keep to it, and the way to the store
 # carries no more.
 LINK_MBPS = 10
@@ -35,6 +37,7 @@
     def __init__(self, build, folder, ip, zone, seeds):
         self.name = f"entry-{ip}"
         self.ip = ip
+        self.zone = zone
         self.proxy = Proxy(LINK_MBPS * BYTES_PER_MEGABIT)
         self.process = None
         # When it was last disturbed, on the monotonic clock.
@@ -52,7 +55,6 @@
         # Starts so far: the moment and the build's name.
         self._starts = []
         self._folder = folder
-        self._zone = zone
         self._seeds = seeds
 
     async def open(self, store_address):
@@ -81,7 +83,7 @@
 
     def start(self):
         settings = {
-            "node-name": self.name, "ip": self.ip, "zone": self._zone,
+            "node-name": self.name, "ip": self.ip, "zone": self.zone,
             "listen.front": self.callers,
             "listen.ready": f"{self.ip}:{READY_PORT}",
             "listen.directory": self.directory,
@@ -90,7 +92,8 @@
             "platform.address": self.proxy.address,
             "bounds.retry-budget-ratio": 0.2, "bounds.budget-slack": 60,
             "bounds.budget-window-s": 10, "bounds.grace-s": GRACE_S,
-            "bounds.drain-ms": DRAIN_MS, "limits.link-mbps": LINK_MBPS,
+            "bounds.drain-ms": DRAIN_MS, "bounds.config-apply-ms": CONFIGURATION_MS,
+            "limits.link-mbps": LINK_MBPS,
             "limits.memory-mb": MEMORY_MB,
         }
         path = os.path.join(self._folder, f"{self.name}.boot")
--- a/tools/soak.d/promises.py
+++ b/tools/soak.d/promises.py
@@ -9,8 +9,6 @@
 from findings import Finding
 
 # Bounds of this deployment, in seconds.
-CONFIGURATION_BOUND_S = 9.0
-DRAIN_BOUND_S = 5.0
 RECOVERY_BOUND_S = 12.0
 EVACUATION_BOUND_S = 5.0
 MOST_PER_COLD_SECOND = int(serving.COLD_PER_S * 1.5 + 5)
@@ -231,13 +229,27 @@
             yield Finding(f"{request_id} ran and no caller sent it")
 
 
-def late_at_leaving(replicas):
+def late_at_leaving(outcomes, daemons, replicas, store, lags, bounds):
+    """Requests to a replica that said while the store was stable that it leaves."""
+    sent = {}
+    for got in outcomes:
+        sent.setdefault(got.id, []).append(got)
+    daemon_at = {each.callers: each for each in daemons}
     for replica in replicas:
-        for at in replica.late_arrivals:
-            if at - replica.left_at > DRAIN_BOUND_S:
-                late = at - replica.left_at
-                yield Finding(
-                    f"{replica.id} got a request {late:.1f} s after it began to leave"
+        for request_id, at in replica.after_notice:
+            of_id = sent.get(request_id, [])
+            got = next((each for each in of_id if at < each.sent_again_at), None)
+            late_s = at - replica.left_at
+            if (
+                late_s > bounds.drain + DRAIN_SLACK_S
+                and got is not None
+                and daemon_at[got.daemon].was_calm(at - bounds.stable, at)
+                and store.was_calm(replica.left_at - bounds.stable, at)
+                and replica.is_reached(replica.left_at, at)
+                and not lags.touch(at - 1, at)
+            ):
+                yield broken(
+                    got, f"reached {replica.id} {late_s:.1f} s after it began to leave"
                 )
 
 
--- a/tools/soak.d/replicas.py
+++ b/tools/soak.d/replicas.py
@@ -61,14 +61,12 @@
         self._mode = "well"
         # When the store acknowledged that it leaves.
         self.left_at = None
-        # Moments after that, at which a request still came.
-        self.late_arrivals = []
+        # The ids and moments of the requests that came after that.
+        self.after_notice = []
         # When the removal of its entry was acknowledged, and the ids and moments of
         # the requests that came after that.
         self.removed_at = None
         self.after_removal = []
-        # Whether nothing has disturbed the daemons and the store of late.
-        self.all_calm = lambda: True
         # Moments at which a request came.
         self.arrivals = []
         # Ids that requests expected here and that are another replica's.
@@ -216,8 +214,8 @@
         self.arrivals.append(time.monotonic())
         if self.removed_at is not None:
             self.after_removal.append((request_id, time.monotonic()))
-        if self.left_at is not None and self.all_calm():
-            self.late_arrivals.append(time.monotonic())
+        if self.left_at is not None:
+            self.after_notice.append((request_id, time.monotonic()))
         if self.mode == "reset":
             writer.transport.abort()
             return
--- a/tools/soak.d/soak.py
+++ b/tools/soak.d/soak.py
@@ -18,10 +18,12 @@
 import promises
 import store as platform
 import verdict
+from bounds import Bounds
 from crowds import Crowds
 from daemon_faults import DaemonFaults
 from daemons import BYTES_PER_MB, Build, Daemon
 from fleet import Fleet, addresses
+from lost_readers import TOLD_AFTER_S, LostReaders
 from replica_faults import ReplicaFaults
 from model_replicas import ModelReplica
 from replicas import Replica
@@ -34,6 +36,8 @@
 MOST_SCALE = 40
 WARM_UP_S = 3.0
 REST_S = 4.0
+# The loss of readers of the store, what the others learn meanwhile, their return.
+LOST_READERS_S = 12.0
 # An outage, the time until the store is stable, and the end of a replica.
 CALM_LEAVE_S = 10.0
 ENTRY_LIFE_S = 3.0
@@ -44,8 +48,6 @@
 # Changes of a large configuration, the next before the last is everywhere.
 CHANGES_OF_LARGE = 3
 LONGEST_PAUSE_OF_CHANGES_S = 0.7
-# Time without a disturbance from which a daemon's promises with a bound hold.
-CALM_S = 4.0
 CUSTOMERS = {f"key-{number}": f"customer-{number}" for number in range(40)}
 # One model replica in so many works on after its stream was cut.
 WORKING_ON = 3
@@ -86,6 +88,10 @@
             Daemon(old or new, folder, ip, ZONES[at % len(ZONES)], ips[:3])
             for at, ip in enumerate(ips)
         ]
+        self.bounds = Bounds.of_daemons(self.fleet.daemons)
+        self.lost_readers = LostReaders(
+            random.Random(f"{seed}.readers"), self.daemons
+        )
         self.daemon_faults = DaemonFaults(self.random, self.findings, self.publish)
         self.crowds = Crowds(random.Random(f"{seed}.crowds"))
         self.odd_entries_left = MOST_ODD_ENTRIES
@@ -99,11 +105,6 @@
     def note(self, what):
         print(f"{time.monotonic() - self.began:7.2f} s  {what}", flush=True)
 
-    def all_calm(self):
-        return self.store.is_calm(CALM_S) and all(
-            each.is_calm(CALM_S) for each in self.daemons
-        )
-
     # The deployment.
 
     async def open(self):
@@ -127,7 +128,6 @@
 
     async def add_replica(self, service, zone, is_cold=False, port=0):
         made = self.new_replica(service, zone, is_cold)
-        made.all_calm = self.all_calm
         await made.open(self.replica_ip, self.store, port)
         self.replicas.append(made)
 
@@ -179,7 +179,7 @@
         self.gone.append(replica)
         await self.add_replica(replica.service, replica.zone, is_cold=True)
         await replica.register(self.store, "draining")
-        await asyncio.sleep(promises.DRAIN_BOUND_S + 2)
+        await asyncio.sleep(self.bounds.drain + LONGER_S)
         replica.stop_renewing()
         await self.store.write(platform.REPLICAS, replica.id, None)
         replica.crash()
@@ -214,6 +214,25 @@
         await leaving
         return outcomes
 
+    async def lose_readers_in_calm(self):
+        """Loses the readers of the store; then a version is accepted, and a replica
+        says that it leaves. All others must learn of both in time."""
+        losing = asyncio.create_task(self.lose_readers())
+        outcomes = await self.traffic(LOST_READERS_S, 3 * self.fleet.callers)
+        await losing
+        return outcomes
+
+    async def lose_readers(self):
+        # What went before must not excuse anyone.
+        await asyncio.sleep(self.bounds.stable + 0.1)
+        how, lose = self.lost_readers.next()
+        self.note(f"readers of the store {how}")
+        losing = asyncio.create_task(lose())
+        await asyncio.sleep(TOLD_AFTER_S)
+        leaving = self.random.choice(self.replicas)
+        await asyncio.gather(self.change(), self.leave(leaving))
+        self.lost_readers.bring_back(await losing)
+
     async def watch_lags(self):
         """Notes times in which the stand-ins themselves are late."""
         while True:
@@ -251,23 +270,25 @@
     async def change(self):
         """Changes the configuration and asks each calm daemon for the new route."""
         version = await self.publish()
-        await asyncio.sleep(promises.CONFIGURATION_BOUND_S)
-        if version != self.version or not self.store.is_calm(
-            promises.CONFIGURATION_BOUND_S
-        ):
+        accepted_at = time.monotonic()
+        await asyncio.sleep(self.bounds.configuration)
+        if version != self.version or not self.store.is_calm(self.bounds.stable):
             return
-        for daemon in self.daemons:
-            if not daemon.is_calm(promises.CONFIGURATION_BOUND_S):
-                continue
-            got = await callers.ask_once(
-                daemon.callers, "safe", "key-1", f"probe-{version}-{daemon.name}",
-                f"/v{version}/a",
-            )
-            self.ledger.pop(got.id, None)
-            if got.status == 404:
-                bound_s = promises.CONFIGURATION_BOUND_S
-                late = f"has no version {version} {bound_s} s after it was accepted"
-                self.findings.append(daemon.finding(late))
+        calm = [each for each in self.daemons if each.is_calm(self.bounds.stable)]
+        await asyncio.gather(
+            *(self.ask_for_version(version, accepted_at, each) for each in calm)
+        )
+
+    async def ask_for_version(self, version, accepted_at, daemon):
+        after_s = time.monotonic() - accepted_at
+        got = await callers.ask_once(
+            daemon.callers, "safe", "key-1", f"probe-{version}-{daemon.name}",
+            f"/v{version}/a",
+        )
+        self.ledger.pop(got.id, None)
+        if got.status == 404:
+            late = f"has no version {version} {after_s:.1f} s after it was accepted"
+            self.findings.append(daemon.finding(late))
 
     async def grow(self):
         """Publishes a large configuration and changes of it in succession, the
@@ -387,6 +408,7 @@
         await disturbed
         await asyncio.sleep(promises.RECOVERY_BOUND_S)
         outcomes += await self.leave_in_calm()
+        outcomes += await self.lose_readers_in_calm()
         at_rest = await self.traffic(REST_S, 2 * self.fleet.callers)
         watching.cancel()
         for each in self.daemons:
--- a/tools/soak.d/verdict.py
+++ b/tools/soak.d/verdict.py
@@ -35,11 +35,13 @@
     yield from promises.late_after_removal(
         outcomes, soak.daemons, replicas, soak.store, soak.lags
     )
+    yield from promises.late_at_leaving(
+        outcomes, soak.daemons, replicas, soak.store, soak.lags, soak.bounds
+    )
 
 
 def of_replicas(soak, replicas):
     """What reached replicas that should not have."""
-    yield from promises.late_at_leaving(replicas)
     yield from promises.reached_evacuated(
         replicas, soak.evacuations, soak.store.outages
     )
