Peers that hand out no copy delay no change

A daemon that was fetching a copy did not renew its copies from the log. A peer whose reports arrive and whose answers don't (frozen right after its report, or behind a link that carries one direction) kept it from that without end: each fetch is given up after 0.8 s, and the next report begins another.

A fetch counts as an attempt now, which is left its time once; only pieces of a large value that arrive hold the daemon back.

--- a/packages/relay/include/sapphirereel/relay/cluster_sync.hpp
+++ b/packages/relay/include/sapphirereel/relay/cluster_sync.hpp
@@ -152,7 +152,10 @@
         apply_leaving(report, now);
         apply_age(report, now);
         postpone_first_read();
-        fetcher_.fetch_if_behind(report, now);
+        if (fetcher_.fetch_if_behind(report, now))
+        {
+            freshness_.record_attempt(now);
+        }
         auto const [reachable, is_new] =
             peer_reaches_log_.try_emplace(report.ip, report.is_log_reachable);
         auto const before =
@@ -316,7 +319,8 @@
         {
             notify_peers_();
         }
-        if (!freshness_.is_read_due(now) || fetcher_.is_fetching())
+        // A large value takes its time, and would take as long from the log.
+        if (!freshness_.is_read_due(now) || fetcher_.is_collecting())
         {
             return;
         }
--- a/packages/relay/include/sapphirereel/relay/copy_fetcher.hpp
+++ b/packages/relay/include/sapphirereel/relay/copy_fetcher.hpp
@@ -48,13 +48,13 @@
         handlers callbacks);
 
     /// Fetches a peer's copies of the streams if they are newer, and asks the
-    /// peer for pieces that it has.
-    auto fetch_if_behind(peer_report const& report, time_point now) -> void;
+    /// peer for pieces that it has. Returns whether a fetch began.
+    auto fetch_if_behind(peer_report const& report, time_point now) -> bool;
 
-    /// Whether a copy is on its way from a peer.
-    [[nodiscard]] auto is_fetching() const -> bool
+    /// Whether pieces of a large value arrive from peers.
+    [[nodiscard]] auto is_collecting() const -> bool
     {
-        return !fetching_.empty() || transfer_ != nullptr;
+        return transfer_ != nullptr;
     }
 
 private:
--- a/packages/relay/include/sapphirereel/relay/log_freshness.hpp
+++ b/packages/relay/include/sapphirereel/relay/log_freshness.hpp
@@ -52,9 +52,9 @@
     /// Records that the copies hold all that the log held at a moment.
     auto record_read(time_point at) -> void;
 
-    /// Records that some daemon began to read the log at a moment. The others
-    /// leave it time, the more the longer the log has not been read: it may be
-    /// down.
+    /// Records that some daemon began to read the log, or this one to fetch a
+    /// peer's copy, at a moment. That is left time, the more the longer the log
+    /// has not been read: it may be down.
     auto record_attempt(time_point at) -> void;
 
     /// Applies what a peer says whose copies hold no more than this daemon's.
--- a/packages/relay/src/copy_fetcher.cpp
+++ b/packages/relay/src/copy_fetcher.cpp
@@ -49,7 +49,7 @@
 {}
 
 auto copy_fetcher::fetch_if_behind(peer_report const& report, time_point now)
-    -> void
+    -> bool
 {
     end_stalled_transfer(now);
     if (transfer_ && covers(report.configuration_next, transfer_->copy()))
@@ -62,8 +62,9 @@
     }
     if (now < next_fetch_at_)
     {
-        return;
+        return false;
     }
+    auto has_begun = false;
     for (auto const stream :
          {keyed_stream::configuration, keyed_stream::replicas})
     {
@@ -71,8 +72,10 @@
         {
             fetch(report.ip, stream, now);
             next_fetch_at_ = now + fetch_interval;
+            has_begun = true;
         }
     }
+    return has_begun;
 }
 
 auto copy_fetcher::misses(keyed_stream stream, log_position next) const -> bool
--- a/test/support/relay/freezable_fleet.hpp
+++ b/test/support/relay/freezable_fleet.hpp
@@ -36,11 +36,11 @@
     explicit freezable_fleet(freezable_fleet_plan const& plan)
     {
         auto const callers = free_port(loop_);
-        auto const peers = free_port(loop_);
+        peer_port_ = free_port(loop_);
         for (auto at = std::size_t{0}; at < plan.daemons; ++at)
         {
             daemons_.push_back(std::make_unique<daemon>(
-                settings_of(plan, at, callers, peers)));
+                settings_of(plan, at, callers, peer_port_)));
             write_configuration(daemons_.back()->log);
             add_replica(daemons_.back()->log, "i-1", "plain", free_port(loop_));
         }
@@ -141,6 +141,12 @@
         return daemons_[which]->node;
     }
 
+    /// The port at which relays serve each other.
+    [[nodiscard]] auto peer_port() const -> std::uint16_t
+    {
+        return peer_port_;
+    }
+
 private:
     struct daemon
     {
@@ -194,6 +200,7 @@
     }
 
     asio::io_context loop_;
+    std::uint16_t peer_port_ = 0;
     std::vector<std::unique_ptr<daemon>> daemons_;
     std::set<std::size_t> frozen_;
 };
