Silent daemons that answer no question count as dead within the bounds

Requests for replicas with a rate wait for permits of the replica's home, and forwarded ones for a peer, until that counts as dead: 3.2 report intervals, which is 1.2 s at 9 daemons, 2.9 s at 90 and 3.2 s at 100, whatever the deployment allows.

A daemon whose report is overdue is asked for one, three times at most. One that has been silent for 0.65 of the shortest bound and has answered none of them is dead: 2.0 s at 90 daemons. A daemon that is stalled for a second is not. Where the earlier limit is shorter (9 daemons, zones of 59) nothing is asked. A question within the zone is answered by a whole report: the answer without load would have had the daemon counted as idle.

--- a/packages/relay/include/sapphirereel/relay/control_intervals.hpp
+++ b/packages/relay/include/sapphirereel/relay/control_intervals.hpp
@@ -22,6 +22,19 @@
 /// Time without a report after which a daemon is considered dead.
 auto peer_timeout(std::size_t daemons) -> duration;
 
+/// Time without a report after which a daemon is asked for one.
+auto report_overdue_after(std::size_t daemons) -> duration;
+
+/// Time between two questions to a daemon whose report is overdue, and the
+/// number of questions without an answer after which it may be considered dead.
+inline constexpr auto question_interval =
+    duration{std::chrono::milliseconds{150}};
+inline constexpr auto max_unanswered_questions = 3;
+
+/// Silence after which a daemon that answers no question is considered dead, as
+/// requests and changes wait for it: a part of the deployment's shortest bound.
+auto silence_limit(duration shortest_bound) -> duration;
+
 /// Interval at which a daemon of a large fleet asks one daemon of each other
 /// zone for a report, and the time without an answer after which it asks
 /// another one.
--- a/packages/relay/include/sapphirereel/relay/peer_gossip.hpp
+++ b/packages/relay/include/sapphirereel/relay/peer_gossip.hpp
@@ -115,6 +115,9 @@
     auto send_known_addresses(std::string const& ip) -> void;
     auto send_reply(peer_report const& asked) -> void;
     auto ask_contacts(time_point now) -> void;
+    auto ask_overdue(time_point now) -> void;
+    /// Whether a daemon's reports count one by one, not as a sum of its zone.
+    [[nodiscard]] auto is_in_mesh(peer_report const& report) const -> bool;
     /// Sends a report to each address, in the encoding that its daemon reads.
     auto send(std::vector<std::string> const& to, peer_report report) -> void;
     /// Encoding in which a report to an address is sent.
--- a/packages/relay/include/sapphirereel/relay/peer_table.hpp
+++ b/packages/relay/include/sapphirereel/relay/peer_table.hpp
@@ -35,12 +35,14 @@
 class peer_table
 {
 public:
-    /// `own_ip` is never added to the table.
+    /// `own_ip` is never added to the table. A daemon that is silent for
+    /// `silence_limit` and answers no question is dead before its timeout.
     peer_table(
         std::string own_ip,
         std::vector<std::string> const& seeds,
         zone_name own_zone = {},
-        std::uint64_t seed = 0);
+        std::uint64_t seed = 0,
+        duration silence_limit = duration::max());
 
     /// Adds addresses at which daemons may run.
     auto add(std::vector<std::string> const& seeds) -> void;
@@ -74,6 +76,10 @@
     [[nodiscard]] auto targets_in(zone_name const& zone, time_point now) const
         -> std::vector<std::string>;
 
+    /// The daemons, among those that reports go round, whose report is overdue
+    /// and that are to be asked for one now; a few at a time.
+    auto take_overdue(time_point now) -> std::vector<std::string>;
+
     /// In a large fleet, one daemon of each other zone to ask for a report. One
     /// that does not answer is replaced by another at random.
     auto contacts(time_point now) -> std::vector<std::string>;
@@ -131,6 +137,9 @@
     {
         peer_report last;
         time_point received_at;
+        /// Questions since the last report, and when the last one was asked.
+        int unanswered = 0;
+        time_point asked_at{};
     };
     struct contact
     {
@@ -143,6 +152,10 @@
     [[nodiscard]] auto is_permit_member(peer const& which) const -> bool;
     [[nodiscard]] auto zones_of_others() const -> std::set<zone_name>;
     [[nodiscard]] auto timeout() const -> duration;
+    [[nodiscard]] auto is_elsewhere(peer const& which) const -> bool;
+    /// Whether a daemon has been silent for long and answers no question.
+    [[nodiscard]] auto is_unresponsive(peer const& which, time_point now) const
+        -> bool;
     [[nodiscard]] auto is_alive(peer const& which, time_point now) const
         -> bool;
     [[nodiscard]] auto is_alive(std::string const& ip, time_point now) const
@@ -151,6 +164,7 @@
 
     std::string own_ip_;
     zone_name own_zone_;
+    duration silence_limit_;
     std::mt19937_64 generator_;
     /// Zone by address; empty if it is not known.
     std::map<std::string, zone_name> known_;
--- a/packages/relay/include/sapphirereel/relay/relay_settings.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_settings.hpp
@@ -8,6 +8,7 @@
 #include "sapphirereel/relay/retry_share.hpp"
 #include "sapphirereel/relay/send_permit.hpp"
 
+#include <algorithm>
 #include <asio/ip/address.hpp>
 #include <asio/ip/tcp.hpp>
 #include <cstdint>
@@ -62,6 +63,12 @@
     /// Descriptors that this daemon may have open; 0 if that is not known.
     std::size_t max_descriptors = 0;
     auto operator<=>(relay_settings const&) const = default;
+
+    /// The shortest time within which a change must take effect everywhere.
+    [[nodiscard]] auto shortest_bound() const -> duration
+    {
+        return std::min(drain_limit, configuration_limit);
+    }
 };
 
 } // namespace sapphirereel::relay
--- a/packages/relay/src/control_intervals.cpp
+++ b/packages/relay/src/control_intervals.cpp
@@ -24,6 +24,15 @@
 constexpr auto peer_timeout_intervals = 3.2;
 constexpr auto min_peer_timeout = duration{milliseconds{1'200}};
 
+/// Report intervals after which a report is overdue, and the time that it may
+/// be late beyond them.
+constexpr auto overdue_intervals = 1.1;
+constexpr auto report_tolerance = duration{milliseconds{60}};
+
+/// Part of the shortest bound for which a daemon that answers no question may
+/// be silent.
+constexpr auto silent_part_of_bound = 0.65;
+
 /// Pause between the reads of a secondary reader per daemon, and its bounds.
 /// Between the bounds, all daemons together read once a second. A daemon whose
 /// copies are old reads at once, without this pause.
@@ -61,6 +70,20 @@
             report_interval(daemons) * peer_timeout_intervals));
 }
 
+auto report_overdue_after(std::size_t daemons) -> duration
+{
+    return std::chrono::duration_cast<duration>(
+               report_interval(daemons) * overdue_intervals) +
+           report_tolerance;
+}
+
+auto silence_limit(duration shortest_bound) -> duration
+{
+    return std::max(
+        min_peer_timeout, std::chrono::duration_cast<duration>(
+                              shortest_bound * silent_part_of_bound));
+}
+
 auto secondary_read_pause(std::size_t daemons) -> duration
 {
     return scaled(
--- a/packages/relay/src/log_freshness.cpp
+++ b/packages/relay/src/log_freshness.cpp
@@ -32,8 +32,7 @@
 
 auto freshness_terms::of(relay_settings const& settings) -> freshness_terms
 {
-    auto const bound =
-        std::min(settings.drain_limit, settings.configuration_limit);
+    auto const bound = settings.shortest_bound();
     return {
         bound / age_divisor, bound / delay_divisor, bound / attempt_divisor};
 }
--- a/packages/relay/src/peer_gossip.cpp
+++ b/packages/relay/src/peer_gossip.cpp
@@ -34,7 +34,12 @@
     , describe_(std::move(describe))
     , describe_zone_(std::move(describe_zone))
     , on_report_(std::move(on_report))
-    , peers_(settings.peers.ip, settings.seeds, settings.zone, incarnation)
+    , peers_(
+          settings.peers.ip,
+          settings.seeds,
+          settings.zone,
+          incarnation,
+          silence_limit(settings.shortest_bound()))
     , report_timer_(loop)
 {}
 
@@ -127,6 +132,24 @@
     send(contacts, std::move(report));
 }
 
+/// Asks daemons whose report is overdue for one.
+auto peer_gossip::ask_overdue(time_point now) -> void
+{
+    auto const overdue = peers_.take_overdue(now);
+    if (overdue.empty())
+    {
+        return;
+    }
+    auto report = make_report();
+    report.wants_reply = true;
+    send(overdue, std::move(report));
+}
+
+auto peer_gossip::is_in_mesh(peer_report const& report) const -> bool
+{
+    return !peers_.is_zoned() || report.zone == zone_;
+}
+
 auto peer_gossip::send_reply(peer_report const& asked) -> void
 {
     auto report = make_report();
@@ -163,6 +186,7 @@
         next_contact_at_ = now + contact_interval;
         ask_contacts(now);
     }
+    ask_overdue(now);
     if (now < next_report_at_)
     {
         return false;
@@ -268,7 +292,11 @@
     {
         send_known_addresses(report->ip);
     }
-    if (report->wants_reply)
+    if (report->wants_reply && is_in_mesh(*report))
+    {
+        send({report->ip}, make_report());
+    }
+    else if (report->wants_reply)
     {
         send_reply(*report);
     }
--- a/packages/relay/src/peer_table.cpp
+++ b/packages/relay/src/peer_table.cpp
@@ -18,15 +18,21 @@
 /// the other side of a partition.
 constexpr auto partition_memory = duration{std::chrono::seconds{20}};
 
+/// Most daemons that are asked for an overdue report at a time: where many are
+/// lost together, the questions must not fill the link.
+constexpr auto max_questions_at_a_time = std::size_t{8};
+
 } // namespace
 
 peer_table::peer_table(
     std::string own_ip,
     std::vector<std::string> const& seeds,
     zone_name own_zone,
-    std::uint64_t seed)
+    std::uint64_t seed,
+    duration silence_limit)
     : own_ip_(std::move(own_ip))
     , own_zone_(std::move(own_zone))
+    , silence_limit_(silence_limit)
     , generator_(seed)
 {
     add(seeds);
@@ -109,6 +115,35 @@
     return listed;
 }
 
+auto peer_table::take_overdue(time_point now) -> std::vector<std::string>
+{
+    auto overdue = std::vector<std::string>{};
+    if (silence_limit_ >= timeout())
+    {
+        return overdue;
+    }
+    auto const limit = report_overdue_after(mesh_size());
+    for (auto& [ip, each] : peers_)
+    {
+        auto const is_due = !is_elsewhere(each) && is_alive(each, now) &&
+                            now - each.received_at > limit &&
+                            each.unanswered < max_unanswered_questions &&
+                            now - each.asked_at >= question_interval;
+        if (!is_due)
+        {
+            continue;
+        }
+        each.asked_at = now;
+        ++each.unanswered;
+        overdue.push_back(ip);
+        if (overdue.size() == max_questions_at_a_time)
+        {
+            break;
+        }
+    }
+    return overdue;
+}
+
 auto peer_table::contacts(time_point now) -> std::vector<std::string>
 {
     auto listed = std::vector<std::string>{};
@@ -253,11 +288,24 @@
     return peer_timeout(mesh_size());
 }
 
+auto peer_table::is_elsewhere(peer const& which) const -> bool
+{
+    return is_zoned() && which.last.zone != own_zone_;
+}
+
+auto peer_table::is_unresponsive(peer const& which, time_point now) const
+    -> bool
+{
+    return which.unanswered >= max_unanswered_questions &&
+           now - which.asked_at >= question_interval &&
+           now - which.received_at > silence_limit_;
+}
+
 auto peer_table::is_alive(peer const& which, time_point now) const -> bool
 {
-    auto const is_elsewhere = is_zoned() && which.last.zone != own_zone_;
-    return now - which.received_at <=
-           (is_elsewhere ? std::max(timeout(), contact_timeout) : timeout());
+    auto const limit =
+        is_elsewhere(which) ? std::max(timeout(), contact_timeout) : timeout();
+    return now - which.received_at <= limit && !is_unresponsive(which, now);
 }
 
 auto peer_table::is_alive(std::string const& ip, time_point now) const -> bool
