A reader's answers about one stream don't hide the other's silence

A primary reader's copies counted as complete as of its last answer about either stream of the log.

An answer counts for both streams only while the other one's is not overdue, by an eighth of the shortest bound; and a read waits for a third of that bound at most, so that a silent link is noticed within it (1 s as before from 3 s on).

--- a/packages/relay/include/sapphirereel/relay/cluster_sync.hpp
+++ b/packages/relay/include/sapphirereel/relay/cluster_sync.hpp
@@ -95,6 +95,7 @@
                   keyed_stream::replicas, [this] { replicas_changed(); }))
         , fetcher_(state, settings.peers, library, fetcher_handlers())
         , lapsed_(settings.drain_limit)
+        , shortest_bound_(settings.shortest_bound())
         , freshness_(freshness_terms::of(settings), seed)
     {
         state_.replica_announced_leaving = [this](replica const& which) {
@@ -206,10 +207,10 @@
         }
         auto const is_primary =
             is_primary_log_reader(own_.ip, zone_, alive, is_log_reachable());
-        auto const settings =
-            follow_settings_for(is_primary, state_.daemons, alive.empty());
-        configuration_.set_settings(settings);
-        replicas_.set_settings(settings);
+        role_settings_ = follow_settings_for(
+            is_primary, state_.daemons, alive.empty(), shortest_bound_);
+        configuration_.set_settings(role_settings_);
+        replicas_.set_settings(role_settings_);
         if (std::exchange(is_primary_log_reader_, is_primary) != is_primary)
         {
             role_began_at_ = now;
@@ -288,9 +289,13 @@
         }
         auto const earlier = std::min(*configuration_at, *replicas_at);
         // A primary reader waits for changes of both streams all the while, so
-        // that an answer about one of them shows that it is told of both.
-        auto const waits_for_both =
-            is_primary_log_reader_ && earlier >= role_began_at_;
+        // that an answer about one of them shows that it is told of both,
+        // unless the answer about the other one is overdue.
+        auto const overdue_after = role_settings_.wait + role_settings_.pause +
+                                   shortest_bound_ / answer_tolerance_divisor;
+        auto const waits_for_both = is_primary_log_reader_ &&
+                                    earlier >= role_began_at_ &&
+                                    now - earlier <= overdue_after;
         freshness_.record_read(
             waits_for_both ? std::max(*configuration_at, *replicas_at)
                            : earlier);
@@ -792,6 +797,10 @@
                                                      : replicas_;
     }
 
+    /// Part of the shortest bound by which the answer of a waiting read may be
+    /// late before it is overdue.
+    static constexpr auto answer_tolerance_divisor = 8;
+
     /// A decoded record of the replicas' stream; no replica if it is invalid.
     struct entry
     {
@@ -810,6 +819,7 @@
     copy_fetcher fetcher_;
     leaving_replica_set leaving_;
     lapsed_replicas lapsed_;
+    duration shortest_bound_;
     log_freshness freshness_;
     /// When the read under way that renews old copies began, and whether peers
     /// have been told of it.
@@ -827,6 +837,7 @@
     std::map<std::string, std::optional<log_position>> unknown_keys_;
     bool is_primary_log_reader_ = false;
     time_point role_began_at_{};
+    follow_settings role_settings_ = startup_follow_settings;
     /// Whether the first read of the log was put off.
     bool has_postponed_ = false;
     /// Whether each peer reached the log, by its last report.
--- a/packages/relay/include/sapphirereel/relay/log_reader_selection.hpp
+++ b/packages/relay/include/sapphirereel/relay/log_reader_selection.hpp
@@ -26,12 +26,19 @@
     std::vector<peer_report> const& alive,
     bool reaches_log = true) -> bool;
 
+/// Longest long-poll timeout of primary reads.
+inline constexpr auto max_primary_read_wait =
+    duration{std::chrono::milliseconds{1'000}};
+
 /// Polling settings of a primary or secondary reader among `daemons` daemons.
 /// `is_alone` tells that none of the others is alive, as when this one is cut
-/// off from them; many may be at the same time.
+/// off from them; many may be at the same time. `shortest_bound` is the
+/// shortest time within which a change must take effect.
 auto follow_settings_for(
-    bool is_primary, std::size_t daemons, bool is_alone = false)
-    -> follow_settings;
+    bool is_primary,
+    std::size_t daemons,
+    bool is_alone = false,
+    duration shortest_bound = duration::max()) -> follow_settings;
 
 } // namespace sapphirereel::relay
 
--- a/packages/relay/src/log_reader_selection.cpp
+++ b/packages/relay/src/log_reader_selection.cpp
@@ -15,9 +15,9 @@
 /// others delays no change.
 constexpr auto primary_log_readers = std::size_t{3};
 
-/// Long-poll timeout of primary reads. A link that stops carrying data is
-/// detected only after this time.
-constexpr auto primary_read_wait = duration{milliseconds{1'000}};
+/// Part of the shortest bound that a primary read may wait: a link that stops
+/// carrying data is detected only after this time.
+constexpr auto read_wait_divisor = 3;
 
 /// Pause between two reads of a primary reader per daemon of the cluster, and
 /// its bounds. Records that arrive during a pause are read together. The
@@ -80,8 +80,11 @@
         [&](ranked_reader const& each) { return each.ip == own_ip; });
 }
 
-auto follow_settings_for(bool is_primary, std::size_t daemons, bool is_alone)
-    -> follow_settings
+auto follow_settings_for(
+    bool is_primary,
+    std::size_t daemons,
+    bool is_alone,
+    duration shortest_bound) -> follow_settings
 {
     // Secondary readers poll as a fallback in case no peer reports a change.
     if (!is_primary)
@@ -93,7 +96,9 @@
     auto const pause = std::clamp(
         per_daemon * static_cast<duration::rep>(daemons), min_primary_pause,
         is_alone ? max_lone_pause : max_primary_pause);
-    return {primary_read_wait, pause};
+    auto const wait =
+        std::min(max_primary_read_wait, shortest_bound / read_wait_divisor);
+    return {wait, pause};
 }
 
 } // namespace sapphirereel::relay
--- a/test/correctness/relay/control_traffic_does_not_grow_with_daemons.cpp
+++ b/test/correctness/relay/control_traffic_does_not_grow_with_daemons.cpp
@@ -52,6 +52,20 @@
     EXPECT_EQ(follow_settings_for(false, 9).pause, secondary_read_pause(9));
 }
 
+// A silent link to the log must be noticed within the deployment's bounds.
+TEST(primary_log_reads, wait_for_a_part_of_the_bound_at_most)
+{
+    using std::chrono::milliseconds;
+    for (auto const bound :
+         {duration{milliseconds{1'500}}, duration{milliseconds{2'000}}})
+    {
+        EXPECT_LE(follow_settings_for(true, 9, false, bound).wait, bound / 3);
+    }
+    EXPECT_EQ(
+        follow_settings_for(true, 90, false, milliseconds{3'000}).wait,
+        max_primary_read_wait);
+}
+
 // Daemons that are cut off from each other all read the log: a third of a large
 // fleet must not read it more often than the whole fleet's primaries and
 // secondaries may together, and each still learns of changes within a second.
--- a/test/correctness/relay/lost_readers_delay_no_change.cpp
+++ b/test/correctness/relay/lost_readers_delay_no_change.cpp
@@ -46,6 +46,20 @@
     EXPECT_LT(fleet.time_until_version(2), bound);
 }
 
+// The answers about the other stream must not hide it.
+TEST(lost_readers, that_are_cut_from_one_stream_delay_a_version_as_little)
+{
+    auto fleet = made_fleet();
+    ASSERT_TRUE(fleet.start());
+    for (auto at = std::size_t{0}; at < readers; ++at)
+    {
+        fleet.cut_from_stream(at, keyed_stream::configuration);
+    }
+    fleet.run_for(milliseconds{50});
+    fleet.publish(2);
+    EXPECT_LT(fleet.time_until_version(2), bound);
+}
+
 TEST(lost_readers, that_are_lost_one_after_the_other_add_no_time)
 {
     auto fleet = freezable_fleet{{2 * readers + 2, bound}};
--- a/test/support/relay/freezable_fleet.hpp
+++ b/test/support/relay/freezable_fleet.hpp
@@ -73,6 +73,12 @@
         daemons_[which]->log.answer_delay = std::chrono::hours{1};
     }
 
+    /// Has the log answer a relay's calls about one stream no more.
+    auto cut_from_stream(std::size_t which, keyed_stream stream) -> void
+    {
+        daemons_[which]->log.silent.insert(stream);
+    }
+
     /// Writes a version of the configuration to the log.
     auto publish(int version) -> void
     {
--- a/test/support/relay/relay_fixture.hpp
+++ b/test/support/relay/relay_fixture.hpp
@@ -70,7 +70,7 @@
                 page.records.push_back(each);
             }
         }
-        answer(std::move(page), std::move(done));
+        answer(stream, std::move(page), std::move(done));
     }
 
     auto read(
@@ -93,7 +93,7 @@
         {
             page.records.push_back(records[at]);
         }
-        answer(std::move(page), std::move(done));
+        answer(stream, std::move(page), std::move(done));
     }
 
     /// Whether calls succeed.
@@ -102,12 +102,20 @@
     /// Time from a call to its answer.
     duration answer_delay{0};
 
+    /// Streams about which calls are not answered.
+    std::set<keyed_stream> silent;
+
     /// Number of calls so far.
     std::size_t calls = 0;
 
 private:
-    auto answer(keyed_page page, keyed_page_handler done) -> void
+    auto answer(keyed_stream stream, keyed_page page, keyed_page_handler done)
+        -> void
     {
+        if (silent.contains(stream))
+        {
+            return;
+        }
         auto result = tl::expected<keyed_page, log_read_error>{std::move(page)};
         if (!is_reachable)
         {
