Ages of copies are told at first or second hand only

Each daemon passed on the youngest age that it had heard. Attempts were passed on in the same way and could put reads off.

A daemon tells its own reads and attempts, and, for other zones, the reads of daemons that it hears directly. Ages are rounded up. The simulation in old_copies_are_renewed_by_few has ten daemons tell each other all that they know for 3 s, with 10 ms on the way.

--- a/packages/relay/include/sapphirereel/relay/cluster_sync.hpp
+++ b/packages/relay/include/sapphirereel/relay/cluster_sync.hpp
@@ -13,6 +13,7 @@
 #include "sapphirereel/relay/log_follower.hpp"
 #include "sapphirereel/relay/log_freshness.hpp"
 #include "sapphirereel/relay/log_reader_selection.hpp"
+#include "sapphirereel/relay/peer_table.hpp"
 #include "sapphirereel/relay/record_transfer.hpp"
 #include "sapphirereel/relay/relay_settings.hpp"
 #include "sapphirereel/relay/relay_state.hpp"
@@ -135,7 +136,7 @@
         report.configuration_next = configuration_.cache().changed_until();
         report.replicas_next = replicas_.cache().changed_until();
         report.leaving = leaving_.entries_to_report(now);
-        report.age = freshness_.age(now);
+        report.age = freshness_.age_to_report(now);
         report.lapse_grace = lapse_grace_left(now);
     }
 
@@ -270,7 +271,9 @@
             replicas_.cache().next() >= report.replicas_next;
         if (holds_as_much)
         {
-            freshness_.apply_peer(report.age, now);
+            auto const is_in_mesh =
+                state_.daemons <= max_full_mesh || report.zone == zone_;
+            freshness_.apply_peer(report.age, is_in_mesh, now);
         }
         else
         {
@@ -332,7 +335,7 @@
         state_.metrics.add(relay_counter::copies_renewed);
         state_.log.info(
             "log", "reads the log, as no peer has for long",
-            {{"age", freshness_.age(now).since_read},
+            {{"age", freshness_.age(now)},
              {"primary", is_primary_log_reader_}});
         freshness_.record_attempt(now);
         renewal_began_at_ = now;
--- a/packages/relay/include/sapphirereel/relay/log_freshness.hpp
+++ b/packages/relay/include/sapphirereel/relay/log_freshness.hpp
@@ -30,12 +30,18 @@
     auto operator<=>(freshness_terms const&) const = default;
 };
 
-/// What a daemon tells others about the age of its copies.
+/// What a daemon tells others about the age of its copies. Ages are told at
+/// first or second hand only: each daemon that passes one on adds the time of
+/// its way to the error, and with many daemons no age would ever grow.
 struct copy_age
 {
-    /// Time since the log was read up to the end of the copies.
+    /// Time since the daemon itself read the log up to the end of its copies.
     duration since_read = duration::max();
-    /// Time since the last read of the log began that was to renew a copy.
+    /// The same for a daemon that it hears directly; counts in other zones of a
+    /// large fleet.
+    duration since_zone_read = duration::max();
+    /// Time since the daemon's last read of the log began that was to renew a
+    /// copy.
     duration since_attempt = duration::max();
     auto operator<=>(copy_age const&) const = default;
 };
@@ -49,34 +55,48 @@
     /// Begins to wait for others' reads.
     auto start(time_point now) -> void;
 
-    /// Records that the copies hold all that the log held at a moment.
+    /// Records that this daemon's own reads made its copies complete as of a
+    /// moment.
     auto record_read(time_point at) -> void;
 
-    /// Records that some daemon began to read the log, or this one to fetch a
-    /// peer's copy, at a moment. That is left time, the more the longer the log
-    /// has not been read: it may be down.
+    /// Records that this daemon began to read the log, or to fetch a peer's
+    /// copy, at a moment. That is left time, the more the longer the log has
+    /// not been read: it may be down.
     auto record_attempt(time_point at) -> void;
 
     /// Applies what a peer says whose copies hold no more than this daemon's.
-    auto apply_peer(copy_age const& reported, time_point now) -> void;
+    /// `is_in_mesh` tells that all daemons among it and this one hear it.
+    auto apply_peer(copy_age const& reported, bool is_in_mesh, time_point now)
+        -> void;
 
     /// Applies what a peer says whose copies hold more than this daemon's: its
     /// reads say nothing of them.
     auto apply_attempt(copy_age const& reported, time_point now) -> void;
 
-    [[nodiscard]] auto age(time_point now) const -> copy_age;
+    /// What this daemon tells others.
+    [[nodiscard]] auto age_to_report(time_point now) const -> copy_age;
+
+    /// Time since the log was read up to the end of the copies, as far as this
+    /// daemon knows.
+    [[nodiscard]] auto age(time_point now) const -> duration;
 
     /// Whether this daemon should read the log itself.
     [[nodiscard]] auto is_read_due(time_point now) const -> bool;
 
 private:
+    auto note_read(time_point at) -> void;
     auto draw_delay() -> void;
 
     freshness_terms terms_;
     std::mt19937_64 random_;
     time_point started_at_{};
+    /// By any daemon, by this one, and by this one or one in its mesh.
     time_point read_at_{};
+    time_point own_read_at_{};
+    time_point mesh_read_at_{};
+    /// By any daemon, and by this one.
     time_point attempted_at_{};
+    time_point own_attempted_at_{};
     duration delay_{0};
 };
 
--- a/packages/relay/src/log_freshness.cpp
+++ b/packages/relay/src/log_freshness.cpp
@@ -50,6 +50,13 @@
 }
 
 auto log_freshness::record_read(time_point at) -> void
+{
+    own_read_at_ = std::max(own_read_at_, at);
+    mesh_read_at_ = std::max(mesh_read_at_, at);
+    note_read(at);
+}
+
+auto log_freshness::note_read(time_point at) -> void
 {
     if (at > read_at_)
     {
@@ -60,24 +67,43 @@
 
 auto log_freshness::record_attempt(time_point at) -> void
 {
+    own_attempted_at_ = std::max(own_attempted_at_, at);
     attempted_at_ = std::max(attempted_at_, at);
 }
 
-auto log_freshness::apply_peer(copy_age const& reported, time_point now) -> void
+auto log_freshness::apply_peer(
+    copy_age const& reported, bool is_in_mesh, time_point now) -> void
 {
-    record_read(moment_of(reported.since_read, now));
+    auto const own_read = moment_of(reported.since_read, now);
+    note_read(own_read);
+    if (is_in_mesh)
+    {
+        mesh_read_at_ = std::max(mesh_read_at_, own_read);
+    }
+    else
+    {
+        note_read(moment_of(reported.since_zone_read, now));
+    }
     apply_attempt(reported, now);
 }
 
 auto log_freshness::apply_attempt(copy_age const& reported, time_point now)
     -> void
 {
-    record_attempt(moment_of(reported.since_attempt, now));
+    attempted_at_ =
+        std::max(attempted_at_, moment_of(reported.since_attempt, now));
+}
+
+auto log_freshness::age_to_report(time_point now) const -> copy_age
+{
+    return {
+        since(own_read_at_, now), since(mesh_read_at_, now),
+        since(own_attempted_at_, now)};
 }
 
-auto log_freshness::age(time_point now) const -> copy_age
+auto log_freshness::age(time_point now) const -> duration
 {
-    return {since(read_at_, now), since(attempted_at_, now)};
+    return since(read_at_, now);
 }
 
 auto log_freshness::is_read_due(time_point now) const -> bool
--- a/packages/relay/src/peer_report.cpp
+++ b/packages/relay/src/peer_report.cpp
@@ -63,6 +63,7 @@
     previous_field_count,
     /// Fields that the previous version does not have.
     since_read_at = previous_field_count,
+    since_zone_read_at,
     since_attempt_at,
     field_count
 };
@@ -93,10 +94,15 @@
 /// greater ages.
 constexpr auto age_unit = duration{milliseconds{10}};
 constexpr auto max_age_units = std::int64_t{255};
+constexpr auto max_told_age = duration{age_unit * max_age_units};
 
 auto write_age(report_packer& to, duration age) -> void
 {
-    to.pack(std::min<std::int64_t>(max_age_units, age / age_unit));
+    // Rounded up: an age that is told must not be less than the true one.
+    to.pack(
+        std::min<std::int64_t>(
+            max_age_units - 1, (std::min(age, max_told_age) / age_unit)) +
+        1);
 }
 
 auto read_age(std::uint32_t units) -> duration
@@ -236,6 +242,7 @@
         report.caller_address = whole_address(report.caller_address, report.ip);
         report.age = {
             read_age(fields.get<std::uint32_t>(since_read_at)),
+            read_age(fields.get<std::uint32_t>(since_zone_read_at)),
             read_age(fields.get<std::uint32_t>(since_attempt_at))};
     }
     return report;
@@ -291,6 +298,7 @@
     if (report.version == report_version)
     {
         write_age(to, report.age.since_read);
+        write_age(to, report.age.since_zone_read);
         write_age(to, report.age.since_attempt);
     }
     return {buffer.data(), buffer.size()};
--- a/test/correctness/relay/old_copies_are_renewed_by_few.cpp
+++ b/test/correctness/relay/old_copies_are_renewed_by_few.cpp
@@ -56,7 +56,7 @@
                 }
                 for (auto& other : members)
                 {
-                    other.apply_peer(each.second, now);
+                    other.apply_peer(each.second, true, now);
                 }
                 return true;
             });
@@ -76,7 +76,7 @@
                     now + read_and_tell,
                     copy_age{
                         is_log_up ? read_and_tell : duration::max(),
-                        read_and_tell});
+                        duration::max(), read_and_tell});
             }
         }
         return first;
@@ -113,20 +113,46 @@
     for (auto now = begin; now < begin + std::chrono::seconds{20};
          now += milliseconds{900})
     {
-        one.apply_peer({milliseconds{100}, duration::max()}, now);
+        one.apply_peer(copy_age{milliseconds{100}}, true, now);
         EXPECT_FALSE(one.is_read_due(now + milliseconds{899}));
     }
 }
 
+// Daemons that tell each other what they have heard, each a little late, must
+// not keep an age from growing.
+TEST(old_copies, grow_old_however_often_others_tell_of_them)
+{
+    for (auto const is_in_mesh : {true, false})
+    {
+        auto all = fleet{10};
+        auto now = begin;
+        for (; now < begin + bound; now += milliseconds{10})
+        {
+            for (auto& from : all.members)
+            {
+                auto const told = from.age_to_report(now);
+                for (auto& to : all.members)
+                {
+                    to.apply_peer(told, is_in_mesh, now + milliseconds{10});
+                }
+            }
+        }
+        EXPECT_TRUE(std::all_of(
+            all.members.begin(), all.members.end(), [&](auto const& each) {
+                return each.age(now) >= bound - milliseconds{50};
+            }));
+    }
+}
+
 TEST(old_copies, are_not_made_younger_by_the_reads_of_peers_that_hold_more)
 {
     auto one = log_freshness{terms(), 1};
     one.start(begin);
     one.record_read(begin);
     auto const later = begin + bound;
-    one.apply_attempt({duration{0}, duration::max()}, later);
+    one.apply_attempt(copy_age{duration{0}}, later);
     EXPECT_TRUE(one.is_read_due(later));
-    EXPECT_EQ(one.age(later).since_read, bound);
+    EXPECT_EQ(one.age(later), bound);
 }
 
 TEST(freshness, follows_the_shortest_bound)
--- a/test/correctness/relay/replicas_that_leave_after_an_outage_are_dropped.cpp
+++ b/test/correctness/relay/replicas_that_leave_after_an_outage_are_dropped.cpp
@@ -196,7 +196,7 @@
     {
         auto const now = telemetry::monotonic_now();
         read_at_ = reach_log ? now : read_at_;
-        return {now - read_at_, duration{0}};
+        return {now - read_at_, duration::max(), duration{0}};
     }
 
     auto report() -> void
--- a/test/correctness/relay/silent_holders_delay_no_change.cpp
+++ b/test/correctness/relay/silent_holders_delay_no_change.cpp
@@ -36,7 +36,7 @@
         report.zone = zone_name{"z"};
         report.is_log_reachable = true;
         report.configuration_next = 1'000;
-        report.age = {duration{0}, duration::max()};
+        report.age.since_read = duration{0};
         socket_.send_to(
             asio::buffer(write_peer_report(report)),
             {asio::ip::make_address(relay_fleet::ip_of(daemon)), port_});
--- a/test/fuzz/relay/peer_reports_survive_the_round_trip.cpp
+++ b/test/fuzz/relay/peer_reports_survive_the_round_trip.cpp
@@ -35,10 +35,14 @@
     report.cold = {{endpoint_id{"one"}, 1'000, std::chrono::seconds{2}}};
     report.paces = {{endpoint_id{"two"}, 2'000, 55}};
     report.waiting = {{service_name{"model"}, 2, 3, 9'000}};
-    report.age = {
-        std::chrono::milliseconds{730}, std::chrono::milliseconds{2'540}};
+    report.age.since_read = std::chrono::milliseconds{730};
+    report.age.since_attempt = std::chrono::milliseconds{2'520};
     report.known_addresses = {{"10.0.0.2", zone_name{"y"}}};
-    EXPECT_EQ(read_peer_report(write_peer_report(report)), report);
+    auto const read = read_peer_report(write_peer_report(report));
+    // Ages are rounded up to 10 ms.
+    report.age.since_read += std::chrono::milliseconds{10};
+    report.age.since_attempt += std::chrono::milliseconds{10};
+    EXPECT_EQ(read, report);
 }
 
 RC_GTEST_PROP(peer_bytes, of_any_kind_are_dropped, (std::string const& bytes))
