A part of an answer is not whole when its connection fails in writing

What callers saw: a replica answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was written. Callers got the part as a whole answer, on plain routes, streams and resumable streams, and through peers.

Cause: the system reports a socket's error once. A write that failed took it and posted the connection's end to the loop; a read that was ready in the same round came before that, saw the end of input without an error, and reported a connection closed in order, which ends a body without a length. The same holds for an end in order that comes before the upload has gone out: a process that fails closes its connection so if its buffer is empty.

Early answers with a length or chunks were served before and still are.

Why it works: a connection notes that a write failed and reports that at whichever end comes first. It tells an end that comes before the peer has acknowledged all bytes (closed_early) from one after (closed); the peer's last segment acknowledges what it had received, so that this does not depend on timing. Only the latter ends a body that has no length.

--- a/packages/relay/include/sapphirereel/relay/connection.hpp
+++ b/packages/relay/include/sapphirereel/relay/connection.hpp
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <system_error>
@@ -21,8 +22,12 @@
 /// How a connection ended.
 enum class connection_end
 {
-    /// The peer closed it in an orderly way.
+    /// The peer closed it in an orderly way, after it had received all bytes
+    /// passed to `send`.
     closed,
+    /// The peer closed it in an orderly way before it had received all bytes
+    /// passed to `send`. A process that fails may end it so.
+    closed_early,
     /// The peer reset the connection.
     reset,
     /// The connection failed, for example because the peer is silent.
@@ -108,6 +113,12 @@
     auto wait_readable() -> void;
     auto read_available() -> void;
     auto write_pending() -> void;
+    /// Notes that a write failed and ends the connection from the event loop.
+    auto fail_write(connection_end how) -> void;
+    /// How a connection ends whose input has ended without an error.
+    [[nodiscard]] auto end_of_input() -> connection_end;
+    /// Whether the peer has acknowledged all bytes passed to `send`.
+    [[nodiscard]] auto has_delivered_everything() -> bool;
     auto shut_down_and_linger() -> void;
     auto end(connection_end how) -> void;
 
@@ -116,6 +127,9 @@
     handlers handlers_;
     std::string pending_;
     std::size_t written_ = 0;
+    /// How the connection ended for a write that failed. The system reports an
+    /// error once: a read after that sees an end without an error.
+    std::optional<connection_end> failed_write_;
     bool reading_ = false;
     bool waiting_readable_ = false;
     bool waiting_writable_ = false;
--- a/packages/relay/src/connection.cpp
+++ b/packages/relay/src/connection.cpp
@@ -2,7 +2,9 @@
 
 #include <array>
 #include <asio/post.hpp>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -52,10 +54,6 @@
 
 auto end_of(std::error_code error) -> connection_end
 {
-    if (error == asio::error::eof)
-    {
-        return connection_end::closed;
-    }
     auto const is_reset = error == asio::error::connection_reset ||
                           error == asio::error::broken_pipe;
     return is_reset ? connection_end::reset : connection_end::broken;
@@ -181,11 +179,11 @@
 
 auto connection::read_available() -> void
 {
-    static auto buffer = std::array<char, max_read_bytes>{};
     if (!reading_ && !closing_)
     {
         return;
     }
+    static auto buffer = std::array<char, max_read_bytes>{};
     auto error = std::error_code{};
     auto const size =
         socket_.read_some(asio::buffer(buffer.data(), buffer.size()), error);
@@ -196,7 +194,7 @@
     }
     if (error)
     {
-        end(end_of(error));
+        end(error == asio::error::eof ? end_of_input() : end_of(error));
         return;
     }
     if (!closing_ && handlers_.received)
@@ -212,9 +210,27 @@
     }
 }
 
+auto connection::end_of_input() -> connection_end
+{
+    if (failed_write_)
+    {
+        return *failed_write_;
+    }
+    return has_delivered_everything() ? connection_end::closed
+                                      : connection_end::closed_early;
+}
+
+auto connection::has_delivered_everything() -> bool
+{
+    auto unacknowledged = 0;
+    // Where the system can't tell, what it has taken counts as delivered.
+    std::ignore = ::ioctl(socket_.native_handle(), SIOCOUTQ, &unacknowledged);
+    return unsent_bytes() == 0 && unacknowledged == 0;
+}
+
 auto connection::send(std::string bytes) -> void
 {
-    if (!socket_.is_open() || closing_ || bytes.empty())
+    if (!socket_.is_open() || closing_ || failed_write_ || bytes.empty())
     {
         return;
     }
@@ -249,13 +265,7 @@
         }
         if (error)
         {
-            // Reported from the event loop, because the handler may destroy
-            // state that the caller of `send` still uses.
-            asio::post(
-                socket_.get_executor(),
-                [self = shared_from_this(), how = end_of(error)] {
-                    self->end(how);
-                });
+            fail_write(end_of(error));
             return;
         }
         written_ += size;
@@ -277,6 +287,16 @@
     }
 }
 
+auto connection::fail_write(connection_end how) -> void
+{
+    failed_write_ = how;
+    // Reported from the event loop, because the handler may destroy state that
+    // the caller of `send` still uses.
+    asio::post(socket_.get_executor(), [self = shared_from_this(), how] {
+        self->end(how);
+    });
+}
+
 auto connection::unsent_bytes() const -> std::size_t
 {
     return pending_.size() - written_;
--- a/packages/relay/src/upstream_call.cpp
+++ b/packages/relay/src/upstream_call.cpp
@@ -192,12 +192,12 @@
             return;
         }
     }
+    auto const is_closed =
+        how == connection_end::closed || how == connection_end::closed_early;
     fail(
         {head_delivered_ ? call_stage::answering : call_stage::waiting,
-         how == connection_end::closed ? "the connection was closed"
-                                       : "the connection broke",
-         how != connection_end::broken,
-         has_partial_head_ || how == connection_end::closed});
+         is_closed ? "the connection was closed" : "the connection broke",
+         how != connection_end::broken, has_partial_head_ || is_closed});
 }
 
 auto upstream_call::may_share_connection() const -> bool
--- a/test/support/relay/relay_fleet.hpp
+++ b/test/support/relay/relay_fleet.hpp
@@ -215,13 +215,20 @@
         fields.push_back(
             {"X-Sapphirereel-Request-Id", fmt::format("r{}", ++requests_)});
         buffered_call::start(
-            loop, pool_, {asio::ip::make_address(ip_of(to)), caller_port_},
+            loop, pool_, caller_address(to),
             http::write_request("GET", target, fields, {}),
             std::chrono::seconds{6}, [this](buffered_response answer) {
                 responses.push_back(std::move(answer));
             });
     }
 
+    /// Where a relay takes callers' requests.
+    [[nodiscard]] auto caller_address(std::size_t daemon) const
+        -> asio::ip::tcp::endpoint
+    {
+        return {asio::ip::make_address(ip_of(daemon)), caller_port_};
+    }
+
     /// Number of responses with a status.
     [[nodiscard]] auto count_of(int status) const -> std::size_t
     {
