An early answer that had arrived is read although a write fails

What callers saw: a 502 for a request whose replica had answered early, with a whole answer and its length, and closed the connection in the upload, if the failed write was noticed before the answer was read.

Cause: the end of a connection whose write failed was reported at once; what stood in the socket's buffer was dropped. The standard lets a server answer early, and the framing proves that the answer is whole.

Why it works: before it reports a failed write, a connection passes on what had arrived, if its owner wants that: calls of replicas do. Callers' connections don't, so that a caller that is gone starts no further request. A reader that has paused for a slow caller finds the rest and the end when it resumes.

--- a/packages/relay/include/sapphirereel/relay/connection.hpp
+++ b/packages/relay/include/sapphirereel/relay/connection.hpp
@@ -48,6 +48,9 @@
         std::function<void(connection_end)> ended;
         /// Called when all bytes passed to `send` have been written.
         std::function<void()> drained;
+        /// Whether `received` still gets, after a write has failed, what had
+        /// arrived before: a response may be whole by then.
+        bool takes_input_of_failed_connection = false;
     };
 
     using connect_handler =
@@ -112,9 +115,12 @@
     auto run_handler(Handler const& handler) -> void;
     auto wait_readable() -> void;
     auto read_available() -> void;
+    /// Reads once and passes on what had arrived; returns whether anything had.
+    auto read_once() -> bool;
     auto write_pending() -> void;
     /// Notes that a write failed and ends the connection from the event loop.
     auto fail_write(connection_end how) -> void;
+    auto end_after_failed_write() -> void;
     /// How a connection ends whose input has ended without an error.
     [[nodiscard]] auto end_of_input() -> connection_end;
     /// Whether the peer has acknowledged all bytes passed to `send`.
--- a/packages/relay/src/connection.cpp
+++ b/packages/relay/src/connection.cpp
@@ -183,19 +183,27 @@
     {
         return;
     }
+    read_once();
+    if (socket_.is_open() && (reading_ || closing_))
+    {
+        wait_readable();
+    }
+}
+
+auto connection::read_once() -> bool
+{
     static auto buffer = std::array<char, max_read_bytes>{};
     auto error = std::error_code{};
     auto const size =
         socket_.read_some(asio::buffer(buffer.data(), buffer.size()), error);
     if (error == asio::error::would_block || error == asio::error::interrupted)
     {
-        wait_readable();
-        return;
+        return false;
     }
     if (error)
     {
         end(error == asio::error::eof ? end_of_input() : end_of(error));
-        return;
+        return false;
     }
     if (!closing_ && handlers_.received)
     {
@@ -204,10 +212,7 @@
         auto const received = handlers_.received;
         run_handler([&] { received(std::string_view{buffer.data(), size}); });
     }
-    if (socket_.is_open() && (reading_ || closing_))
-    {
-        wait_readable();
-    }
+    return true;
 }
 
 auto connection::end_of_input() -> connection_end
@@ -292,11 +297,24 @@
     failed_write_ = how;
     // Reported from the event loop, because the handler may destroy state that
     // the caller of `send` still uses.
-    asio::post(socket_.get_executor(), [self = shared_from_this(), how] {
-        self->end(how);
+    asio::post(socket_.get_executor(), [self = shared_from_this()] {
+        self->end_after_failed_write();
     });
 }
 
+auto connection::end_after_failed_write() -> void
+{
+    auto const takes_input = handlers_.takes_input_of_failed_connection;
+    while (takes_input && reading_ && socket_.is_open() && read_once())
+    {}
+    // A reader that has paused finds the rest, and the end, when it resumes.
+    auto const is_paused = takes_input && !reading_;
+    if (socket_.is_open() && !is_paused)
+    {
+        end(*failed_write_);
+    }
+}
+
 auto connection::unsent_bytes() const -> std::size_t
 {
     return pending_.size() - written_;
--- a/packages/relay/src/upstream_call.cpp
+++ b/packages/relay/src/upstream_call.cpp
@@ -51,7 +51,8 @@
     connection_.transport->set_handlers(
         {[self](std::string_view bytes) { self->receive(bytes); },
          [self](connection_end how) { self->end(how); },
-         {}});
+         {},
+         true});
     connection_.transport->read();
     connection_.transport->send(std::move(bytes_));
 }
--- a/test/correctness/relay/early_answers_of_lost_replicas_are_not_whole.cpp
+++ b/test/correctness/relay/early_answers_of_lost_replicas_are_not_whole.cpp
@@ -3,6 +3,7 @@
 // that had come was taken for the whole answer.
 #include "support/relay/early_replica.hpp"
 
+#include <asio/write.hpp>
 #include <gtest/gtest.h>
 #include <ostream>
 
@@ -148,6 +149,65 @@
     }
 }
 
+/// A connection to a peer that has sent an answer and reset the connection.
+auto connect_to_reset_peer(asio::io_context& loop, std::string_view answer)
+    -> std::shared_ptr<connection>
+{
+    auto acceptor = asio::ip::tcp::acceptor{
+        loop, {asio::ip::make_address(process_loopback_ip()), 0}};
+    auto socket = asio::ip::tcp::socket{loop};
+    socket.connect(acceptor.local_endpoint());
+    auto peer = acceptor.accept();
+    asio::write(peer, asio::buffer(answer.data(), answer.size()));
+    peer.set_option(asio::socket_base::linger{true, 0});
+    peer.close();
+    return connection::adopt(std::move(socket));
+}
+
+// A response may be whole in the socket's buffer when a write fails.
+TEST(connection_end, comes_after_the_input_that_had_arrived)
+{
+    for (auto const takes_input : {true, false})
+    {
+        auto loop = asio::io_context{};
+        auto const from = connect_to_reset_peer(loop, "answer");
+        auto received = std::string{};
+        auto end = std::optional<connection_end>{};
+        from->set_handlers(
+            {[&](std::string_view bytes) { received += bytes; },
+             [&](connection_end how) { end = how; },
+             {},
+             takes_input});
+        from->read();
+        from->send("request");
+        loop.run_for(milliseconds{50});
+        EXPECT_EQ(end, connection_end::reset);
+        EXPECT_EQ(received, takes_input ? "answer" : "");
+    }
+}
+
+// A slow caller pauses the reading of its response.
+TEST(connection_end, waits_for_a_reader_that_has_paused)
+{
+    auto loop = asio::io_context{};
+    auto const from = connect_to_reset_peer(loop, "answer");
+    auto received = std::string{};
+    auto end = std::optional<connection_end>{};
+    from->set_handlers(
+        {[&](std::string_view bytes) { received += bytes; },
+         [&](connection_end how) { end = how; },
+         {},
+         true});
+    from->send("request");
+    loop.run_for(milliseconds{20});
+    EXPECT_FALSE(end);
+    from->read();
+    loop.restart();
+    loop.run_for(milliseconds{20});
+    EXPECT_EQ(received, "answer");
+    EXPECT_EQ(end, connection_end::reset);
+}
+
 // An answer whose request had arrived whole may end with its connection.
 TEST(connection_end, of_a_peer_that_received_everything_is_orderly)
 {
