Trailers are no fields of a response's head, however they arrive

What callers saw: found by the test below, not reported. A field in the trailers of a chunked response was passed on, and believed, as a field of its head if the whole response arrived at once; if it came in pieces it was not. A trailer could so state the id of another request.

Cause: the parser took as many bytes as there were, and its fields were read after that, with the trailers among them.

Why it works: the parser stops after the head and after each chunk. The head is read when it ends, before anything that follows has been looked at.

--- a/packages/http/src/response_parser.cpp
+++ b/packages/http/src/response_parser.cpp
@@ -43,20 +43,75 @@
 struct response_parser::state
 {
     bool to_head = false;
+    /// Bytes that the parser has not taken.
     std::string buffer;
     std::optional<beast_parser> parser;
     std::optional<response_head> head;
     unsigned interim_responses = 0;
 
-    auto restart() -> void
+    auto restart() -> void;
+    auto put(std::string_view bytes) -> tl::expected<std::size_t, std::string>;
+    auto take_head() -> tl::expected<void, std::string>;
+    auto pass_interim() -> tl::expected<void, std::string>;
+};
+
+/// Begins to read a response.
+auto response_parser::state::restart() -> void
+{
+    parser.emplace();
+    parser->header_limit(max_unparsed_response_bytes);
+    parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+    parser->skip(to_head);
+    // The parser stops after the head and after each chunk, so that these are
+    // read in the same way whether or not more has arrived with them.
+    parser->eager(false);
+}
+
+/// Puts bytes into the parser; returns how many it took, 0 if it needs more.
+auto response_parser::state::put(std::string_view bytes)
+    -> tl::expected<std::size_t, std::string>
+{
+    auto const is_in_head = !parser->is_header_done();
+    auto error = boost::system::error_code{};
+    auto const used = put_bytes(*parser, bytes, error);
+    if (error && error != beast::error::need_more)
     {
-        parser.emplace();
-        parser->header_limit(max_unparsed_response_bytes);
-        parser->body_limit(std::numeric_limits<std::uint64_t>::max());
-        parser->eager(true);
-        parser->skip(to_head);
+        return tl::unexpected(error.message());
     }
-};
+    if (is_in_head)
+    {
+        if (auto const head_taken = take_head(); !head_taken)
+        {
+            return tl::unexpected(head_taken.error());
+        }
+    }
+    return used;
+}
+
+/// Takes the head if it is whole.
+auto response_parser::state::take_head() -> tl::expected<void, std::string>
+{
+    if (!parser->is_header_done())
+    {
+        return {};
+    }
+    if (parser->get().result_int() < 200 && parser->is_done())
+    {
+        return pass_interim();
+    }
+    head = read_head(*parser, to_head);
+    return {};
+}
+
+auto response_parser::state::pass_interim() -> tl::expected<void, std::string>
+{
+    if (++interim_responses > max_interim_responses)
+    {
+        return tl::unexpected(std::string{"too many interim responses"});
+    }
+    restart();
+    return {};
+}
 
 response_parser::response_parser(bool to_head)
     : state_(std::make_unique<state>())
@@ -74,35 +129,21 @@
 {
     auto& now = *state_;
     now.buffer.append(bytes);
-    while (!now.buffer.empty() && !now.parser->is_done())
+    auto taken = std::size_t{0};
+    while (taken < now.buffer.size() && !now.parser->is_done())
     {
-        auto error = boost::system::error_code{};
-        auto const used = put_bytes(*now.parser, now.buffer, error);
-        now.buffer.erase(0, used);
-        if (error && error != beast::error::need_more)
-        {
-            return tl::unexpected(error.message());
-        }
-        if (!now.head && now.parser->is_header_done())
+        auto const used = now.put(std::string_view{now.buffer}.substr(taken));
+        if (!used)
         {
-            auto const status = now.parser->get().result_int();
-            if (status < 200 && now.parser->is_done())
-            {
-                if (++now.interim_responses > max_interim_responses)
-                {
-                    return tl::unexpected(
-                        std::string{"too many interim responses"});
-                }
-                now.restart();
-                continue;
-            }
-            now.head = read_head(*now.parser, now.to_head);
+            return tl::unexpected(used.error());
         }
-        if (error == beast::error::need_more || used == 0)
+        if (*used == 0)
         {
             break;
         }
+        taken += *used;
     }
+    now.buffer.erase(0, taken);
     // The parser takes bytes of a body at once, so that what is left belongs to
     // a line or a block of lines that has not ended.
     auto const has_no_end = !now.parser->is_done() &&
