A status that is none, as 000 or 600, is no answer

What callers saw: a replica in trouble answered with status 000. Callers got `HTTP/1.1 0 Status` as an answer, 600 and 999 with that status, or, where the answer stated its length, a 504 after the whole deadline.

Cause: the parser takes any three digits. A status below 200 whose message was done was passed over as an interim response, which hung on how the bytes arrived; with a body it was handed on as an answer.

Names with a blank or a control byte, ambiguous lengths and odd status lines were refused before; their tests stay.

Why it works: when a head ends its status is final (200 to 599), interim (1xx but 101, which answers an offer that no request makes), or the bytes are no response: the call fails, its connection ends, and the request goes on as after a lost answer. The store's client, copies and reports read with the same parser.

--- a/packages/http/src/response_parser.cpp
+++ b/packages/http/src/response_parser.cpp
@@ -4,6 +4,7 @@
 #include "parser_input.hpp"
 
 #include <boost/beast/http/parser.hpp>
+#include <fmt/format.h>
 #include <limits>
 #include <utility>
 
@@ -14,6 +15,18 @@
 
 using beast_parser = beast::response_parser<arriving_body>;
 
+/// Whether a status announces that the response is still to come. 101 is none
+/// of these: it answers an offer of another protocol, which no request makes.
+auto is_interim(unsigned status) -> bool
+{
+    return status / 100 == 1 && status != 101;
+}
+
+auto is_final(unsigned status) -> bool
+{
+    return status >= 200 && status <= 599;
+}
+
 /// Reads the head; `to_head` tells that the request was a HEAD.
 auto read_head(beast_parser const& parser, bool to_head) -> response_head
 {
@@ -95,10 +108,16 @@
     {
         return {};
     }
-    if (parser->get().result_int() < 200 && parser->is_done())
+    auto const status = parser->get().result_int();
+    if (is_interim(status))
     {
         return pass_interim();
     }
+    if (!is_final(status))
+    {
+        return tl::unexpected(
+            fmt::format("{} is not the status of a response", status));
+    }
     head = read_head(*parser, to_head);
     return {};
 }
