A folded line of a response's head is no field

What callers saw: a line that began with a blank behind another field became part of the value before it, of the response's signature for example, and went on to the caller.

Cause: the parser still takes the obsolete folding of lines, which makes a line whose name would begin with a blank invisible.

Why it works: a head, and a block of trailers, that holds a line end before a blank is refused, as in requests; the standard lets a gateway answer 502. The check stands once now, for both parsers.

--- a/packages/http/src/request_parser.cpp
+++ b/packages/http/src/request_parser.cpp
@@ -1,6 +1,7 @@
 #include "sapphirereel/http/request_parser.hpp"
 
 #include "arriving_body.hpp"
+#include "folded_line.hpp"
 #include "parser_input.hpp"
 
 #include <boost/beast/core/string.hpp>
@@ -29,14 +30,6 @@
     return is_inside ? 0 : text.capacity();
 }
 
-/// Whether a header line goes on in the next line, an obsolete form that
-/// parsers read differently.
-auto has_folded_line(std::string_view head) -> bool
-{
-    return head.find("\r\n ") != std::string_view::npos ||
-           head.find("\r\n\t") != std::string_view::npos;
-}
-
 /// What in a parsed head makes its framing or its destination ambiguous.
 auto find_ambiguity(request const& head) -> std::optional<std::string>
 {
--- a/packages/http/src/response_parser.cpp
+++ b/packages/http/src/response_parser.cpp
@@ -1,6 +1,7 @@
 #include "sapphirereel/http/response_parser.hpp"
 
 #include "arriving_body.hpp"
+#include "folded_line.hpp"
 #include "parser_input.hpp"
 
 #include <boost/beast/http/parser.hpp>
@@ -15,6 +16,9 @@
 
 using beast_parser = beast::response_parser<arriving_body>;
 
+constexpr auto folded_line_error =
+    std::string_view{"a field of the response spans several lines"};
+
 /// Whether a status announces that the response is still to come. 101 is none
 /// of these: it answers an offer of another protocol, which no request makes.
 auto is_interim(unsigned status) -> bool
@@ -58,6 +62,8 @@
     bool to_head = false;
     /// Bytes that the parser has not taken.
     std::string buffer;
+    /// What the parser has taken of a head that is not whole.
+    std::string partial_head;
     std::optional<beast_parser> parser;
     std::optional<response_head> head;
     unsigned interim_responses = 0;
@@ -91,13 +97,19 @@
     {
         return tl::unexpected(error.message());
     }
+    auto const taken = bytes.substr(0, used);
     if (is_in_head)
     {
+        partial_head.append(taken);
         if (auto const head_taken = take_head(); !head_taken)
         {
             return tl::unexpected(head_taken.error());
         }
     }
+    else if (parser->is_done() && parser->chunked() && has_folded_line(taken))
+    {
+        return tl::unexpected(std::string{folded_line_error});
+    }
     return used;
 }
 
@@ -108,6 +120,11 @@
     {
         return {};
     }
+    auto const text = std::exchange(partial_head, {});
+    if (has_folded_line(text))
+    {
+        return tl::unexpected(std::string{folded_line_error});
+    }
     auto const status = parser->get().result_int();
     if (is_interim(status))
     {
--- a/test/correctness/relay/broken_answers_are_no_answers.cpp
+++ b/test/correctness/relay/broken_answers_are_no_answers.cpp
@@ -175,6 +175,8 @@
     ::testing::Values(
         answer_case{"200", "X Y: b"},
         answer_case{"200", "X-Y : b"},
+        answer_case{"200", "X: a\r\n folded"},
+        answer_case{"200", "X: a\r\n\tX-Y: b"},
         answer_case{"200", "X\x01Y: b"},
         answer_case{"200", std::string{"X\0Y: b", 6}},
         answer_case{"200", "no colon"},
