A broken answer to an order shows that its replica is there

What callers would see: a stream that two replicas work on. A replica that breaks off a stream and works on is asked to stop the run; if all its answers are broken, it counted as out of reach after 1.5 s, and the stream went on elsewhere beside the first run.

Cause: the inquiry takes a connection that ended for a sign of life, but not an answer that is refused, which it ends itself.

Evidence: ends_when_its_replicas_answers_are_broken fails on the commit before (two runs, the stream whole) and passes here with the other 14 tests of the file.

Why it works: what the call says of the path (something of an answer came, or an orderly close) counts as a response, so that the stream ends as incomplete when nothing is known of its run.

--- a/packages/relay/src/lost_run_end.cpp
+++ b/packages/relay/src/lost_run_end.cpp
@@ -47,7 +47,8 @@
     {
         return lost_run_end::gone;
     }
-    has_responded_ = has_responded_ || !failure || failure->connection_ended;
+    has_responded_ = has_responded_ || !failure || failure->connection_ended ||
+                     failure->shows_path;
     return time_left(now) <= delay_ ? std::optional{outcome_without_answer()}
                                     : std::nullopt;
 }
--- a/test/correctness/relay/broken_streams_stop_their_runs_first.cpp
+++ b/test/correctness/relay/broken_streams_stop_their_runs_first.cpp
@@ -105,6 +105,15 @@
         1U);
 }
 
+// A broken answer says nothing of the run, but that its replica is there.
+TEST(broken_stream, ends_when_its_replicas_answers_are_broken)
+{
+    auto with = breaking_world{};
+    with.engine.orders = order_taking::broken_answer;
+    EXPECT_FALSE(with.stream());
+    EXPECT_EQ(with.engine.runs.size(), 1U);
+}
+
 TEST(broken_stream, goes_on_when_its_replica_answers_nothing)
 {
     auto with = breaking_world{};
--- a/test/support/relay/working_engine.hpp
+++ b/test/support/relay/working_engine.hpp
@@ -30,7 +30,9 @@
     /// It never answers.
     silent,
     /// It closes the first connection, as one with too many connections does.
-    closed_once
+    closed_once,
+    /// Its answers have a status that is none.
+    broken_answer
 };
 
 /// A run at one replica.
@@ -228,6 +230,11 @@
             from.respond(400, {}, {});
             return;
         }
+        if (orders == order_taking::broken_answer)
+        {
+            from.respond(600, {}, {});
+            return;
+        }
         auto const order = nlohmann::json::parse(asked.body);
         for (auto const& run : active_)
         {
