A part of an engine's refusal refuses nothing

What callers would see: a run twice. An engine's 503 whose connection broke before its end was taken for a refusal, after which the run is sent to another engine; a part of a 404 counted as an unknown run.

Cause: the status was believed once the head had come, however the exchange ended.

Evidence: cut_refusals_refuse_nothing fails on (400, 404, 429 and 503 with 4 of 9 bytes) and passes here.

Why it works: a refusal counts only if the exchange ended as answered. Else the stream is lost, as after a lost connection: the run may be going on.

--- a/packages/endpoint/src/engine_stream.cpp
+++ b/packages/endpoint/src/engine_stream.cpp
@@ -107,7 +107,8 @@
     {
         return {end_if_not_sent, next, 0, outcome.detail};
     }
-    if (status != 0 && status != 200)
+    auto const is_whole = outcome.end == exchange_end::answered;
+    if (is_whole && status != 200)
     {
         return {end_if_refused, next, status, transfer.refusal};
     }
