Endpoints' answers are read by the product's own parser

What callers saw at sapphirereeld: an endpoint's answer with status 000, 101 or 600, with a line that is no field passed on, dropped or cut at a NUL, with the raw chunks or a part of the body where a length or coding had a blank in its name, and a part of a body without a length where the daemon itself broke the call off. A whole early answer was lost if its endpoint closed in the upload.

Cause: the HTTP library reads answers leniently and can't be told otherwise; it writes the whole request before it reads, and takes its own shutdown for the end of a body.

A check of what the library hands over was weighed: it can't see the lines that the library drops.

Why it works: the new package `calls` makes one blocking call over a socket with http/response_parser, so that one reader decides what an answer is. It reads while it writes; a body without a length is whole only at an orderly end after the peer has received the whole request, which the relay asks in the same way.

--- a/packages/endpoint/include/sapphirereel/endpoint/exchange.hpp
+++ b/packages/endpoint/include/sapphirereel/endpoint/exchange.hpp
@@ -4,14 +4,13 @@
 #ifndef SAPPHIREREEL_ENDPOINT_EXCHANGE_HPP
 #define SAPPHIREREEL_ENDPOINT_EXCHANGE_HPP
 
+#include "sapphirereel/calls/blocking_call.hpp"
 #include "sapphirereel/core/configuration.hpp"
 #include "sapphirereel/core/request.hpp"
 #include "sapphirereel/endpoint/timeouts.hpp"
 
 #include <cstddef>
 #include <functional>
-#include <httplib.h>
-#include <mutex>
 #include <string>
 #include <string_view>
 
@@ -30,7 +29,8 @@
     stopped
 };
 
-/// An exchange's end. A status of 0 means that no answer began.
+/// An exchange's end. A status of 0 means that no answer began; one that began
+/// is to be believed only if the exchange ended as answered.
 struct exchange_outcome
 {
     exchange_end end = exchange_end::broken;
@@ -52,9 +52,6 @@
 {
 public:
     exchange(socket_address address, timeouts limits);
-    exchange(exchange const&) = delete;
-    auto operator=(exchange const&) -> exchange& = delete;
-    ~exchange();
 
     /// Sends a request and gathers its answer. The path goes out as it stands,
     /// so it is percent-encoded already. Fields that belong to one connection
@@ -71,16 +68,7 @@
     [[nodiscard]] auto stopped() -> bool;
 
 private:
-    auto adopt_connection(int socket) -> void;
-    auto release_connection() -> void;
-    [[nodiscard]] auto failure(httplib::Error error, call_answer answer)
-        -> exchange_outcome;
-
-    socket_address address_;
-    timeouts limits_;
-    std::mutex mutex_;
-    int connection_ = -1;
-    bool stopped_ = false;
+    calls::blocking_call call_;
 };
 
 } // namespace sapphirereel::endpoints::internal
--- a/packages/relay/src/connection.cpp
+++ b/packages/relay/src/connection.cpp
@@ -1,10 +1,10 @@
 #include "sapphirereel/relay/connection.hpp"
 
+#include "sapphirereel/calls/delivery.hpp"
+
 #include <array>
 #include <asio/post.hpp>
-#include <linux/sockios.h>
 #include <netinet/tcp.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -227,10 +227,8 @@
 
 auto connection::has_delivered_everything() -> bool
 {
-    auto unacknowledged = 0;
-    // Where the system can't tell, what it has taken counts as delivered.
-    std::ignore = ::ioctl(socket_.native_handle(), SIOCOUTQ, &unacknowledged);
-    return unsent_bytes() == 0 && unacknowledged == 0;
+    return unsent_bytes() == 0 &&
+           calls::has_delivered_everything(socket_.native_handle());
 }
 
 auto connection::send(std::string bytes) -> void
