Answers of the platform and to the operators' client are read strictly

What was seen: sapphirereelctl took a daemon's answer with status 000, or with a head that is none, for the answer, also after a call that may not be repeated; sapphirereeld believed such answers of its log service (an append that may not stand), VM list and weight store.

Why it works: both use the blocking call of the package `calls`. The path that the operators' client sends is escaped by the client now, as the library did.

--- a/packages/client/src/daemon_client.cpp
+++ b/packages/client/src/daemon_client.cpp
@@ -1,7 +1,9 @@
 #include "sapphirereel/client/daemon_client.hpp"
 
+#include "sapphirereel/calls/blocking_call.hpp"
+
 #include <charconv>
-#include <httplib.h>
+#include <fmt/format.h>
 #include <optional>
 #include <utility>
 
@@ -32,33 +34,47 @@
     return socket_address{std::string{ip}, port};
 }
 
+/// Escapes bytes of a path, such as those of an edit's id, that would end it.
+auto escape_path(std::string_view path) -> std::string
+{
+    auto escaped = std::string{};
+    for (auto const byte : path)
+    {
+        auto const is_visible = byte > ' ' && byte <= '~';
+        escaped +=
+            is_visible
+                ? std::string(1, byte)
+                : fmt::format("%{:02X}", static_cast<unsigned char>(byte));
+    }
+    return escaped;
+}
+
 auto send_to(
     socket_address const& daemon,
     call_limits const& limits,
-    daemon_call const& call) -> httplib::Result
+    daemon_call const& call) -> tl::expected<http::response, calls::call_error>
 {
-    auto client = httplib::Client{daemon.ip, daemon.port};
-    client.set_connection_timeout(limits.connect);
-    client.set_read_timeout(limits.answer);
-    client.set_write_timeout(limits.answer);
-    client.set_tcp_nodelay(true);
-    return call.body.empty()
-               ? client.Get(call.path)
-               : client.Post(call.path, call.body, "application/json");
+    auto to = calls::blocking_call{daemon, {limits.connect, limits.answer}};
+    auto const path = escape_path(call.path);
+    if (call.body.empty())
+    {
+        return to.fetch({"GET", path});
+    }
+    return to.fetch(
+        {"POST", path, {{"Content-Type", "application/json"}}, call.body});
 }
 
-auto was_not_sent(httplib::Error error) -> bool
+auto was_not_sent(calls::call_error const& error) -> bool
 {
-    return error == httplib::Error::Connection ||
-           error == httplib::Error::ConnectionTimeout ||
-           error == httplib::Error::BindIPAddress;
+    return error.stage == calls::failed_stage::not_sent;
 }
 
-auto unanswered(socket_address const& daemon, httplib::Error error) -> finding
+auto unanswered(socket_address const& daemon, calls::call_error const& error)
+    -> finding
 {
     return {
         {daemon.ip + ":" + std::to_string(daemon.port), 0, {}},
-        "no answer: " + httplib::to_string(error),
+        "no answer: " + error.detail,
         "check the address, or name further daemons with --daemon"};
 }
 
@@ -114,13 +130,13 @@
     for (auto const& daemon : daemons_)
     {
         auto const answer = send_to(daemon, limits_, call);
-        if (answer && answer->status != status_unavailable)
+        if (answer && answer->head.status != status_unavailable)
         {
-            return daemon_answer{answer->status, answer->body};
+            return daemon_answer{answer->head.status, answer->body};
         }
         if (answer)
         {
-            refused = daemon_answer{answer->status, answer->body};
+            refused = daemon_answer{answer->head.status, answer->body};
             continue;
         }
         failed.reasons.push_back(unanswered(daemon, answer.error()));
--- a/packages/platform/src/http.hpp
+++ b/packages/platform/src/http.hpp
@@ -3,54 +3,52 @@
 #ifndef SAPPHIREREEL_PLATFORM_HTTP_HPP
 #define SAPPHIREREEL_PLATFORM_HTTP_HPP
 
+#include "sapphirereel/calls/blocking_call.hpp"
 #include "sapphirereel/core/configuration.hpp"
 #include "sapphirereel/platform/timeouts.hpp"
 #include "sapphirereel/platform/vm_list_service.hpp"
 
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 namespace sapphirereel::platform::internal {
 
-/// A client for one call. `wait` is how long the answer may take beyond the
+/// A call of a service. `wait` is how long the answer may take beyond the
 /// ordinary limit.
-inline auto open_client(
+inline auto open_call(
     socket_address const& address,
     timeouts const& limits,
-    duration wait = duration{0}) -> httplib::Client
+    duration wait = duration{0}) -> calls::blocking_call
 {
-    auto client = httplib::Client{address.ip, address.port};
-    client.set_tcp_nodelay(true);
-    client.set_connection_timeout(limits.connect);
-    client.set_read_timeout(limits.answer + wait);
-    client.set_write_timeout(limits.answer);
-    return client;
+    return calls::blocking_call{
+        address, {limits.connect, limits.answer + wait}};
 }
 
 /// Whether no byte of a request can have reached the service.
-inline auto was_not_sent(httplib::Error error) -> bool
+inline auto was_not_sent(calls::call_error const& error) -> bool
 {
-    return error == httplib::Error::Connection ||
-           error == httplib::Error::ConnectionTimeout ||
-           error == httplib::Error::BindIPAddress;
+    return error.stage == calls::failed_stage::not_sent;
 }
 
 /// Asks for a JSON value and reads it with a decoder, which may throw JSON
 /// exceptions.
 template <class Decode>
-auto fetch_json(httplib::Client& client, char const* path, Decode decode)
+auto fetch_json(
+    socket_address const& address,
+    timeouts const& limits,
+    char const* path,
+    Decode decode)
     -> tl::expected<decltype(decode(nlohmann::json{})), platform_error>
 {
-    auto const answer = client.Get(path);
+    auto call = open_call(address, limits);
+    auto const answer = call.fetch({"GET", path});
     if (!answer)
     {
-        return tl::unexpected{
-            platform_error{httplib::to_string(answer.error())}};
+        return tl::unexpected{platform_error{answer.error().detail}};
     }
-    if (answer->status != 200)
+    if (answer->head.status != 200)
     {
         return tl::unexpected{
-            platform_error{"status " + std::to_string(answer->status)}};
+            platform_error{"status " + std::to_string(answer->head.status)}};
     }
     try
     {
--- a/packages/platform/src/log_client.cpp
+++ b/packages/platform/src/log_client.cpp
@@ -50,12 +50,12 @@
     }
 }
 
-auto failed_append(httplib::Error error) -> append_outcome
+auto failed_append(calls::call_error const& error) -> append_outcome
 {
     auto const status = internal::was_not_sent(error)
                             ? append_status::refused
                             : append_status::unanswered;
-    return {status, {}, httplib::to_string(error)};
+    return {status, {}, error.detail};
 }
 
 /// A client's error and an overload are said before the append, but other
@@ -65,14 +65,14 @@
     return (status >= 400 && status < 500) || status == 503;
 }
 
-auto answered_append(httplib::Response const& answer) -> append_outcome
+auto answered_append(http::response const& answer) -> append_outcome
 {
-    auto const status = "status " + std::to_string(answer.status);
-    if (is_refusal(answer.status))
+    auto const status = "status " + std::to_string(answer.head.status);
+    if (is_refusal(answer.head.status))
     {
         return {append_status::refused, {}, status};
     }
-    if (answer.status != 201)
+    if (answer.head.status != 201)
     {
         return {append_status::unanswered, {}, status};
     }
@@ -121,9 +121,12 @@
     {
         return {append_status::refused, {}, "record too large"};
     }
-    auto client = internal::open_client(address_, limits_);
-    auto const answer = client.Post(
-        records_path(stream), std::string{body}, "text/plain; charset=utf-8");
+    auto call = internal::open_call(address_, limits_);
+    auto const answer = call.fetch(
+        {"POST",
+         records_path(stream),
+         {{"Content-Type", "text/plain; charset=utf-8"}},
+         std::string{body}});
     return answer ? answered_append(*answer) : failed_append(answer.error());
 }
 
@@ -133,25 +136,26 @@
     std::size_t limit,
     duration wait) const -> tl::expected<log_page, log_error>
 {
-    auto client = internal::open_client(address_, limits_, wait);
+    auto call = internal::open_call(address_, limits_, wait);
     auto const wait_ms =
         std::chrono::duration_cast<std::chrono::milliseconds>(wait);
     auto const path = records_path(stream) +
                       "?from=" + std::to_string(from.value) +
                       "&limit=" + std::to_string(limit) +
                       "&wait_ms=" + std::to_string(wait_ms.count());
-    auto const answer = client.Get(path);
+    auto const answer = call.fetch({"GET", path});
     if (!answer)
     {
         auto const failure = internal::was_not_sent(answer.error())
                                  ? log_failure::unreachable
                                  : log_failure::unanswered;
-        return fail_read(failure, httplib::to_string(answer.error()));
+        return fail_read(failure, answer.error().detail);
     }
-    if (answer->status != 200)
+    if (answer->head.status != 200)
     {
         return fail_read(
-            log_failure::rejected, "status " + std::to_string(answer->status));
+            log_failure::rejected,
+            "status " + std::to_string(answer->head.status));
     }
     auto page = decode_body(answer->body, read_page);
     if (!page)
--- a/packages/platform/src/vm_list_client.cpp
+++ b/packages/platform/src/vm_list_client.cpp
@@ -35,8 +35,7 @@
 auto vm_list_client::read() const
     -> tl::expected<std::vector<listed_vm>, platform_error>
 {
-    auto client = internal::open_client(address_, limits_);
-    return internal::fetch_json(client, "/v1/vms", read_list);
+    return internal::fetch_json(address_, limits_, "/v1/vms", read_list);
 }
 
 } // namespace sapphirereel::platform
--- a/packages/platform/src/weight_client.cpp
+++ b/packages/platform/src/weight_client.cpp
@@ -19,8 +19,7 @@
 
 auto weight_client::budget() const -> tl::expected<load_budget, platform_error>
 {
-    auto client = internal::open_client(address_, limits_);
-    return internal::fetch_json(client, "/v1/budget", read_budget);
+    return internal::fetch_json(address_, limits_, "/v1/budget", read_budget);
 }
 
 } // namespace sapphirereel::platform
