--- a/packages/calls/src/blocking_call.cpp
+++ b/packages/calls/src/blocking_call.cpp
@@ -108,7 +108,7 @@
         if (ready.input || has_write_failed)
         {
             auto const was_sent = unsent.empty() && !has_write_failed;
-            if (auto const taken = receive(parser, taker, was_sent); !taken)
+            if (auto taken = receive(parser, taker, was_sent); !taken)
             {
                 return taken;
             }
