--- a/test/correctness/relay/cut_responses_never_look_whole_through_peers.cpp
+++ b/test/correctness/relay/cut_responses_never_look_whole_through_peers.cpp
@@ -33,24 +33,7 @@
     /// replica, as if that daemon cut its responses.
     auto make_peer_cut() -> void
     {
-        fleet.nodes[0]->state().pool.set_connector(
-            [this](
-                asio::ip::tcp::endpoint to, duration limit,
-                connection::connect_handler done) {
-                auto const is_peer =
-                    to.address().to_string() != process_loopback_ip();
-                if (is_peer)
-                {
-                    to = {
-                        asio::ip::make_address(process_loopback_ip()),
-                        replica.port()};
-                }
-                else
-                {
-                    to.port(closed.port);
-                }
-                connection::connect(fleet.loop, to, limit, std::move(done));
-            });
+        fleet.divert_peers(0, replica.port(), closed.port);
     }
 
     auto send(std::size_t daemon, std::string const& target)
--- a/test/correctness/relay/early_answers_of_lost_replicas_are_not_whole.cpp
+++ b/test/correctness/relay/early_answers_of_lost_replicas_are_not_whole.cpp
@@ -124,44 +124,75 @@
     early_whole_answer,
     ::testing::ValuesIn(cases_of({framing::length, framing::chunks})));
 
-// The rule at the connection: an error is reported once, to a read or a write,
-// and whoever asks next sees an end without an error.
-TEST(connection_end, of_a_reset_while_bytes_are_unsent_is_not_orderly)
+/// A connection of the test's and what it has told its owner.
+struct watched_connection
 {
-    auto loop = asio::io_context{};
-    auto replica = early_replica{
-        loop,
-        [](std::string const&) { return "part"; },
-        {ending::reset, milliseconds{30}}};
-    for (auto count = 0; count < uploads_per_case; ++count)
+    explicit watched_connection(asio::ip::tcp::socket socket)
+        : held(connection::adopt(std::move(socket)))
     {
-        auto socket = asio::ip::tcp::socket{loop};
-        socket.connect(
-            {asio::ip::make_address(process_loopback_ip()), replica.port()});
-        auto const from = connection::adopt(std::move(socket));
-        auto end = std::optional<connection_end>{};
-        from->set_handlers({{}, [&](connection_end how) { end = how; }, {}});
-        from->read();
-        from->send("a\r\n\r\n" + long_upload());
-        loop.restart();
-        loop.run_for(milliseconds{200});
-        EXPECT_EQ(end, connection_end::reset);
+        watch(false);
     }
+
+    /// `takes_input` tells whether input is taken after a failed write.
+    auto watch(bool takes_input) -> void
+    {
+        held->set_handlers(
+            {[this](std::string_view bytes) { received += bytes; },
+             [this](connection_end how) { end = how; },
+             {},
+             takes_input});
+    }
+
+    std::shared_ptr<connection> held;
+    std::string received;
+    std::optional<connection_end> end;
+};
+
+auto run_for(asio::io_context& loop, milliseconds time) -> void
+{
+    loop.restart();
+    loop.run_for(time);
+}
+
+auto connect(asio::io_context& loop, std::uint16_t port)
+    -> asio::ip::tcp::socket
+{
+    auto socket = asio::ip::tcp::socket{loop};
+    socket.connect({asio::ip::make_address(process_loopback_ip()), port});
+    return socket;
 }
 
 /// A connection to a peer that has sent an answer and reset the connection.
 auto connect_to_reset_peer(asio::io_context& loop, std::string_view answer)
-    -> std::shared_ptr<connection>
+    -> asio::ip::tcp::socket
 {
     auto acceptor = asio::ip::tcp::acceptor{
         loop, {asio::ip::make_address(process_loopback_ip()), 0}};
-    auto socket = asio::ip::tcp::socket{loop};
-    socket.connect(acceptor.local_endpoint());
+    auto socket = connect(loop, acceptor.local_endpoint().port());
     auto peer = acceptor.accept();
     asio::write(peer, asio::buffer(answer.data(), answer.size()));
     peer.set_option(asio::socket_base::linger{true, 0});
     peer.close();
-    return connection::adopt(std::move(socket));
+    return socket;
+}
+
+// The rule at the connection: an error is reported once, to a read or a write,
+// and whoever asks next sees an end without an error.
+TEST(connection_end, of_a_reset_while_bytes_are_unsent_is_not_orderly)
+{
+    auto loop = asio::io_context{};
+    auto replica = early_replica{
+        loop,
+        [](std::string const&) { return "part"; },
+        {ending::reset, milliseconds{30}}};
+    for (auto count = 0; count < uploads_per_case; ++count)
+    {
+        auto from = watched_connection{connect(loop, replica.port())};
+        from.held->read();
+        from.held->send("a\r\n\r\n" + long_upload());
+        run_for(loop, milliseconds{200});
+        EXPECT_EQ(from.end, connection_end::reset);
+    }
 }
 
 // A response may be whole in the socket's buffer when a write fails.
@@ -170,19 +201,13 @@
     for (auto const takes_input : {true, false})
     {
         auto loop = asio::io_context{};
-        auto const from = connect_to_reset_peer(loop, "answer");
-        auto received = std::string{};
-        auto end = std::optional<connection_end>{};
-        from->set_handlers(
-            {[&](std::string_view bytes) { received += bytes; },
-             [&](connection_end how) { end = how; },
-             {},
-             takes_input});
-        from->read();
-        from->send("request");
-        loop.run_for(milliseconds{50});
-        EXPECT_EQ(end, connection_end::reset);
-        EXPECT_EQ(received, takes_input ? "answer" : "");
+        auto from = watched_connection{connect_to_reset_peer(loop, "answer")};
+        from.watch(takes_input);
+        from.held->read();
+        from.held->send("request");
+        run_for(loop, milliseconds{50});
+        EXPECT_EQ(from.end, connection_end::reset);
+        EXPECT_EQ(from.received, takes_input ? "answer" : "");
     }
 }
 
@@ -190,22 +215,15 @@
 TEST(connection_end, waits_for_a_reader_that_has_paused)
 {
     auto loop = asio::io_context{};
-    auto const from = connect_to_reset_peer(loop, "answer");
-    auto received = std::string{};
-    auto end = std::optional<connection_end>{};
-    from->set_handlers(
-        {[&](std::string_view bytes) { received += bytes; },
-         [&](connection_end how) { end = how; },
-         {},
-         true});
-    from->send("request");
-    loop.run_for(milliseconds{20});
-    EXPECT_FALSE(end);
-    from->read();
-    loop.restart();
-    loop.run_for(milliseconds{20});
-    EXPECT_EQ(received, "answer");
-    EXPECT_EQ(end, connection_end::reset);
+    auto from = watched_connection{connect_to_reset_peer(loop, "answer")};
+    from.watch(true);
+    from.held->send("request");
+    run_for(loop, milliseconds{20});
+    EXPECT_FALSE(from.end);
+    from.held->read();
+    run_for(loop, milliseconds{20});
+    EXPECT_EQ(from.received, "answer");
+    EXPECT_EQ(from.end, connection_end::reset);
 }
 
 // An answer whose request had arrived whole may end with its connection.
@@ -216,16 +234,11 @@
         loop,
         [](std::string const&) { return "whole"; },
         {ending::in_order, milliseconds{0}}};
-    auto socket = asio::ip::tcp::socket{loop};
-    socket.connect(
-        {asio::ip::make_address(process_loopback_ip()), replica.port()});
-    auto const from = connection::adopt(std::move(socket));
-    auto end = std::optional<connection_end>{};
-    from->set_handlers({{}, [&](connection_end how) { end = how; }, {}});
-    from->read();
-    from->send("a\r\n\r\n");
-    loop.run_for(milliseconds{200});
-    EXPECT_EQ(end, connection_end::closed);
+    auto from = watched_connection{connect(loop, replica.port())};
+    from.held->read();
+    from.held->send("a\r\n\r\n");
+    run_for(loop, milliseconds{200});
+    EXPECT_EQ(from.end, connection_end::closed);
 }
 
 } // namespace
--- a/test/correctness/relay/early_answers_through_peers_are_not_whole.cpp
+++ b/test/correctness/relay/early_answers_through_peers_are_not_whole.cpp
@@ -37,19 +37,7 @@
     /// replica, as if that daemon were lost.
     auto lose_peer() -> void
     {
-        fleet.nodes[0]->state().pool.set_connector(
-            [this](
-                asio::ip::tcp::endpoint to, duration limit,
-                connection::connect_handler done) {
-                auto const is_peer =
-                    to.address().to_string() != process_loopback_ip();
-                if (is_peer)
-                {
-                    to.address(asio::ip::make_address(process_loopback_ip()));
-                }
-                to.port(is_peer ? replica.port() : closed.port);
-                connection::connect(fleet.loop, to, limit, std::move(done));
-            });
+        fleet.divert_peers(0, replica.port(), closed.port);
     }
 
     auto expect_no_success() -> void
--- a/test/support/relay/relay_fleet.hpp
+++ b/test/support/relay/relay_fleet.hpp
@@ -165,6 +165,23 @@
             });
     }
 
+    /// Has a relay's connections to its peers end at a port of the test's, as
+    /// if that were the peer, and all others at another port.
+    auto divert_peers(
+        std::size_t daemon, std::uint16_t peers_to, std::uint16_t others_to)
+        -> void
+    {
+        nodes[daemon]->state().pool.set_connector(
+            [this, peers_to, others_to](
+                asio::ip::tcp::endpoint to, duration limit,
+                connection::connect_handler done) {
+                auto const own = asio::ip::make_address(process_loopback_ip());
+                auto const is_peer = to.address() != own;
+                to = {own, is_peer ? peers_to : others_to};
+                connection::connect(loop, to, limit, std::move(done));
+            });
+    }
+
     /// Starts the relays and waits until each has read its log and has heard
     /// of all others.
     auto start() -> bool
