Test: a broken answer is followed by no second run

For 15 broken answers on a route that may run once: one request reaches the replica, the caller gets 502 without a statement that nothing ran, and the failed attempt is logged.

--- a/test/correctness/relay/broken_answers_are_no_answers.cpp
+++ b/test/correctness/relay/broken_answers_are_no_answers.cpp
@@ -56,20 +56,25 @@
 {
     answering_replica(
         asio::io_context& loop, answer_case const& each, framing framed)
-        : raw(loop, [each, framed](connection& to, std::string const& request) {
-            if (request.starts_with("POST /-/kv-move "))
-            {
-                to.send(http::write_response(404, {}, {}));
-                return;
-            }
-            to.send(write_answer(each, framed, request));
-            if (framed == framing::none)
-            {
-                to.close_gracefully();
-            }
-        })
+        : raw(loop,
+              [this, each, framed](connection& to, std::string const& request) {
+                  if (request.starts_with("POST /-/kv-move "))
+                  {
+                      to.send(http::write_response(404, {}, {}));
+                      return;
+                  }
+                  ++arrivals;
+                  to.send(write_answer(each, framed, request));
+                  if (framed == framing::none)
+                  {
+                      to.close_gracefully();
+                  }
+              })
     {}
 
+    /// Requests that were answered.
+    int arrivals = 0;
+
     raw_replica raw;
 };
 
@@ -147,6 +152,21 @@
     }
 }
 
+// The request may have run: it is not sent again where it may run once only,
+// and nothing states that it did not run.
+TEST_P(broken_answer, is_followed_by_no_second_run)
+{
+    auto with = answering_world{GetParam(), framing::length, false};
+    ASSERT_TRUE(with.fleet.start());
+    auto const answer = with.send("once");
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->head.status, 502);
+    EXPECT_FALSE(
+        http::find(answer->head.fields, "X-Sapphirereel-Not-Executed"));
+    EXPECT_EQ(with.replica.arrivals, 1);
+    EXPECT_TRUE(with.fleet.logged("attempt failed"));
+}
+
 // Nothing of what may follow a broken answer is believed.
 TEST_P(broken_answer, ends_its_connection)
 {
