Review: a request that crashes replicas is forgotten by restarted daemons

Three daemons, six replicas, a request that crashes its replica and comes again. After its third crash it is refused everywhere. Each daemon that is restarted by SIGTERM since then sends it on three times more, in touch, while the other two daemons still refuse it.

Without the restarts it held: no late retry reached a replica.

--- /dev/null
+++ b/review/lib3/store.py
@@ -0,0 +1,80 @@
+"""The platform's metadata store: two keyed topics that the operator and the replicas write."""
+
+import asyncio
+import base64
+import json
+import struct
+import urllib.parse
+
+import http11
+
+OPERATOR, SERVERS = "keyed.op", "keyed.servers"
+PAGE_ENTRIES = 500
+
+
+class Store:
+    def __init__(self):
+        self.records = {OPERATOR: [], SERVERS: []}
+        self.address = None
+        self._news = asyncio.Condition()
+        self._server = None
+
+    async def open(self, ip):
+        self._server = await asyncio.start_server(self._serve, ip, 0)
+        self.address = f"{ip}:{self._server.sockets[0].getsockname()[1]}"
+
+    async def write(self, topic, key, value):
+        """Appends a record; a value of None removes the key."""
+        raw = b"" if value is None else json.dumps(value).encode()
+        async with self._news:
+            self.records[topic].append((key.encode(), raw))
+            self._news.notify_all()
+
+    async def _serve(self, reader, writer):
+        try:
+            while (got := await http11.read_head(reader)) is not None:
+                await http11.read_body(reader, got[1])
+                path, _, query = got[0].split(" ")[1].partition("?")
+                terms = dict(urllib.parse.parse_qsl(query))
+                writer.write(await self._answer(path, terms))
+                await writer.drain()
+        except (http11.Broken, OSError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    async def _answer(self, path, terms):
+        records = self.records.get(terms.get("topic"))
+        if records is None or terms.get("part") != "0":
+            return http11.answer(404)
+        if path == "/-/log-newest":
+            return self._newest(records, terms.get("after", ""))
+        if path == "/-/log-read":
+            return await self._read(records, int(terms["from"]), int(terms.get("wait-ms", "0")))
+        return http11.answer(404)
+
+    def _newest(self, records, after):
+        newest = {key: (offset, raw) for offset, (key, raw) in enumerate(records)}
+        live = sorted((key.decode(), *found) for key, found in newest.items() if found[1])
+        rest = [each for each in live if each[0] > after]
+        page = [
+            {"key": key, "offset": offset, "value": base64.b64encode(raw).decode()}
+            for key, offset, raw in rest[:PAGE_ENTRIES]
+        ]
+        told = {"entries": page, "more": len(rest) > len(page), "end": len(records)}
+        return http11.answer(200, {"Content-Type": "application/json"}, json.dumps(told).encode())
+
+    async def _read(self, records, start, wait_ms):
+        if start > len(records):
+            return http11.answer(410, body=json.dumps({"first": 0}).encode())
+        if start == len(records) and wait_ms:
+            try:
+                async with asyncio.timeout(wait_ms / 1_000), self._news:
+                    await self._news.wait_for(lambda: len(records) > start)
+            except TimeoutError:
+                pass
+        body = struct.pack(">QQ", len(records), 0)
+        for key, raw in records[start:]:
+            record = bytes([len(key)]) + key + raw
+            body += struct.pack(">I", len(record)) + record
+        return http11.answer(200, body=body)
