--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,8 +1,9 @@
-"""A replica crashes while the one that holds copies of its runs leaves."""
+"""A request that crashes its replicas comes again while the daemons are restarted in turn."""
 
 import asyncio
 import pathlib
 import random
+import signal
 import sys
 import time
 
@@ -12,32 +13,30 @@
 import http11
 from case import main, until
 from daemons import BOUNDS, Daemon, free_ips
-from engines import Engine
+from replicas import Replica
 from store import OPERATOR, Store
 
-HOST, PATH, KEY, TENANT = "ficu95.example", "/lohu930/2f", "xd9dnn2ctnfzs989anu6", "huka270"
-SERVICE = "lm-trasee"
-ZONES = ["brasov-a", "sibiu-b", "prahova-c"]
-ENGINES, EVENTS, STREAMS_PER_S, DEADLINE_MS = 7, 300, 8, 39000
-STABLE_S, DRAIN_S = BOUNDS["stable-window-ms"] / 1_000, BOUNDS["drain-ms"] / 1_000
-# The leaving replica serves on for so long; the other one crashes in between.
-SERVES_ON_S, CRASH_AFTER_S = 8.0, 4.0
+HOST, PATH, KEY, TENANT = "ficu95.example", "/pule252/2f", "xd9dnn2ctnfzs989anu6", "huka270"
+SERVICE = "registru"
+CRASHING_BODY = b"a closure entry that crashes its replica"
+DAEMONS, REPLICAS = 3, 6
+DEADLINE_MS = 1000
+BACK_AFTER_S = 3.0
+STABLE_S = BOUNDS["stable-window-ms"] / 1_000
+# Most of its retries that may reach replicas, by the rule.
+MOST_LATE_RETRIES = 3
+# Between two attempts of the request, and between the restarts of two daemons.
+RETRY_S, BETWEEN_RESTARTS_S = 1.5, 8.0
+ATTEMPTS_AT_EACH = 4
 
 CONFIGURATION = {
     "version": 7,
     "routes": [{
-        "name": "r-px5pa2y", "host": HOST, "path-prefix": "/lohu930/", "kind": "streaming",
-        "timeout-ms": DEADLINE_MS, "target-latency-ms": 1800, "priority": 1, "service": SERVICE,
-        "max-attempts": 1, "auth-exempt": False, "sticky-sessions": True,
-        "stream-resume": False, "gap-aim-ms": 180,
-    }],
-    "services": [{
-        "name": SERVICE, "health-path": "/healthz", "max-connections": 282,
-        "engine": {
-            "slots": 24, "kv-cache-tokens": 34322, "kv-token-bytes": 18432, "link-mbps": 2700.0,
-            "moves": True, "backups": True, "stride": 4, "handle-s": 5.0, "models": [{"name": "m"}],
-        },
+        "name": "r-px5pa2y", "host": HOST, "path-prefix": "/pule252/", "kind": "unsafe",
+        "timeout-ms": 1000, "target-latency-ms": 150, "priority": 2, "service": SERVICE,
+        "max-attempts": 1, "auth-exempt": False,
     }],
+    "services": [{"name": SERVICE, "health-path": "/healthz", "max-connections": 110}],
     "tenants": [{"name": TENANT, "api-keys": [KEY]}],
     "limits": {
         "max-header-bytes": 16384, "max-body-bytes": 4194304,
@@ -46,118 +45,127 @@
 }
 
 
-class Caller:
+class CrashingReplica(Replica):
+    """Ends as soon as it begins to run the request, and is back some seconds later."""
+
+    async def run(self, request_id, first, fields, body, writer):
+        if body != CRASHING_BODY:
+            await super().run(request_id, first, fields, body, writer)
+            return
+        asyncio.get_running_loop().create_task(self.crash_and_return(BACK_AFTER_S))
+
+
+class Callers:
     def __init__(self, case):
         self._case, self._number = case, 0
-        self.ends, self.daemon_of, self.not_whole = {}, {}, set()
-
-    async def keep_sending(self, daemons):
-        while True:
-            await asyncio.sleep(random.expovariate(STREAMS_PER_S))
-            asyncio.create_task(self.stream(random.choice(daemons)))
+        # Attempts of the crashing request: id, daemon, moment, status.
+        self.attempts = []
+        # Statuses of ordinary requests.
+        self.ordinary = {}
 
-    async def stream(self, daemon):
+    async def send(self, daemon, body):
         self._number += 1
         request_id = f"{self._number:06d}{random.getrandbits(40):010x}"
-        self.daemon_of[request_id] = daemon
-        end = await self._read_stream(daemon, request_id)
-        self.ends[end] = self.ends.get(end, 0) + 1
-        if end != "whole":
-            self.not_whole.add(request_id)
-
-    async def _read_stream(self, daemon, request_id):
-        writer = None
+        bytes_out = http11.request("POST", PATH, {
+            "Host": HOST, "X-Sapphirereel-Request-Id": request_id,
+            "X-Sapphirereel-Deadline-Ms": DEADLINE_MS, "X-Sapphirereel-Credential": KEY,
+        }, body)
         try:
-            async with asyncio.timeout(DEADLINE_MS / 1_000):
-                reader, writer = await asyncio.open_connection(*http11.split(daemon.front))
-                writer.write(http11.request("POST", PATH, {
-                    "Host": HOST, "X-Sapphirereel-Request-Id": request_id,
-                    "X-Sapphirereel-Model": "m", "X-Sapphirereel-Token-Count": "300,1200",
-                    "X-Sapphirereel-Length-Hint": "1200",
-                    "X-Sapphirereel-Prompt-Prefix": f"5c1e07a2:80,{request_id[:8]}:220",
-                    "X-Sapphirereel-Deadline-Ms": DEADLINE_MS,
-                    "X-Sapphirereel-Credential": KEY,
-                }, b"a prompt"))
-                got = await http11.read_head(reader)
-                if got is None or " 200 " not in got[0]:
-                    return "no answer" if got is None else got[0]
-                body = await http11.read_body(reader, got[1])
-                return "whole" if body.count(b"\n\n") == EVENTS else "pieces are missing"
-        except TimeoutError:
-            return "not in time"
-        except (http11.Broken, OSError):
-            return "cut"
-        finally:
-            if writer is not None:
-                writer.close()
+            status, _, _ = await http11.call(daemon.front, bytes_out, DEADLINE_MS / 1_000 + 0.5)
+        except http11.Broken as why:
+            status = str(why)
+        return request_id, status
+
+    async def send_crashing(self, daemon):
+        sent_at = time.monotonic()
+        request_id, status = await self.send(daemon, CRASHING_BODY)
+        self.attempts.append((request_id, daemon, sent_at, status))
+        self._case.record(f"crashing request {request_id} sent to {daemon.name}: {status}")
+
+    async def keep_sending(self, daemons):
+        """Ordinary requests of other contents, beside all that happens."""
+        number = 0
+        while True:
+            await asyncio.sleep(0.05)
+            number += 1
+            ready = [each for each in daemons if not each.has_ended() and each.is_in_touch(time.monotonic(), 5)]
+            if ready:
+                asyncio.create_task(self._send_ordinary(random.choice(ready), number))
+
+    async def _send_ordinary(self, daemon, number):
+        _, status = await self.send(daemon, b"closure entry %d" % number)
+        self.ordinary[status] = self.ordinary.get(status, 0) + 1
 
 
 async def play(case, scratch):
     store = Store()
-    ips, base = free_ips(3)
+    ips, base = free_ips(DAEMONS)
     await store.open("127.0.0.1")
     await store.write(OPERATOR, "config", CONFIGURATION)
-    engines = [
-        Engine(f"i-{number:010x}", SERVICE, ZONES[number % 3], store, case.record, events=EVENTS)
-        for number in range(1, ENGINES + 1)
+    replicas = [
+        CrashingReplica(f"i-{number:010x}", SERVICE, zone, store, case.record, work_s=0.1)
+        for number, zone in enumerate(["brasov-a", "sibiu-b", "prahova-c"] * 2, 1)
     ]
-    for each in engines:
+    for each in replicas[:REPLICAS]:
         await each.open("127.0.0.1")
+    zones = ["brasov-a", "sibiu-b", "prahova-c"]
     case.daemons = [
-        Daemon(scratch, ip, base, zone, ips, store.address, case.record) for ip, zone in zip(ips, ZONES)
+        Daemon(scratch, ip, base, zone, ips, store.address, case.record)
+        for ip, zone in zip(ips, zones)
     ]
     for each in case.daemons:
         each.start()
     for each in case.daemons:
         await until(each.is_ready, 10, f"{each.name} was not ready")
+    callers = Callers(case)
+    ordinary = asyncio.create_task(callers.keep_sending(case.daemons))
+    await asyncio.sleep(STABLE_S + 1)
+
+    crashes = lambda: [at for each in replicas for _, at, fields in each.runs if is_crashing(callers, fields)]
+    while len(crashes()) < 3:
+        await callers.send_crashing(random.choice(case.daemons))
+        await asyncio.sleep(RETRY_S)
+    third_crash_at = sorted(crashes())[2]
+    case.record("it has crashed its third replica")
     await asyncio.sleep(STABLE_S)
-    caller = Caller(case)
-    traffic = asyncio.create_task(caller.keep_sending(case.daemons))
-    await asyncio.sleep(10)
-
-    crashing, leaving = pair_with_most_copies(engines)
-    await leaving.register("draining")
-    left_at = time.monotonic()
-    case.record(f"{leaving.id}: its draining is acknowledged")
-    await asyncio.sleep(CRASH_AFTER_S)
-    held = sum(holds_copy_of(leaving, each) for each in crashing.at_work.values())
-    case.record(f"{leaving.id} holds copies of {held} of the {len(crashing.at_work)} runs at {crashing.id}")
-    if case.has_trouble:
-        crashing.crash()
-    await asyncio.sleep(SERVES_ON_S - CRASH_AFTER_S)
-    traffic.cancel()
-    leaving.crash()
-    await store.write("keyed.servers", leaving.id, None)
-    await asyncio.sleep(3)
-    return judge(case, caller, leaving, left_at)
-
-
-def holds_copy_of(holder, run):
-    return run.fields.get("x-sapphirereel-kv-backup") == holder.address
-
-
-def pair_with_most_copies(engines):
-    """The replica that leaves is one that holds copies of the crashing one's runs."""
-    pairs = [(a, b) for a in engines for b in engines if a is not b]
-    return max(pairs, key=lambda pair: sum(holds_copy_of(pair[1], run) for run in pair[0].at_work.values()))
-
-
-def judge(case, caller, leaving, left_at):
-    late = [run for run in leaving.all_runs if run.began > left_at + DRAIN_S]
-    in_touch = [run for run in late if caller.daemon_of[run.request_id].is_in_touch(run.began)]
-    for run in in_touch:
-        case.record(
-            f"{run.request_id} reached {leaving.id} {run.began - left_at:.2f} s after the acknowledgement, "
-            f"continued: {run.is_continued}"
-        )
-    case.record(f"streams by end: {caller.ends}")
-    if not in_touch:
-        return []
-    cut = sum(run.request_id in caller.not_whole for run in in_touch)
-    return [
-        f"DRAIN: {len(in_touch)} requests reached a leaving replica later than drain-ms after the "
-        f"acknowledgement; {cut} of their streams were cut off when it was gone"
+
+    for each in case.daemons:
+        if case.has_trouble:
+            each.send(signal.SIGTERM)
+            await until(each.has_ended, BOUNDS["grace-s"], f"{each.name} did not end")
+            each.start()
+            await until(each.is_ready, 10, f"{each.name} was not ready again")
+        await asyncio.sleep(STABLE_S + 0.5)
+        for _ in range(ATTEMPTS_AT_EACH):
+            await callers.send_crashing(each)
+            await asyncio.sleep(RETRY_S)
+        await asyncio.sleep(BETWEEN_RESTARTS_S - RETRY_S)
+    ordinary.cancel()
+    return judge(case, callers, replicas, third_crash_at)
+
+
+def is_crashing(callers, fields):
+    known = {request_id for request_id, *_ in callers.attempts}
+    return fields["x-sapphirereel-request-id"] in known
+
+
+def judge(case, callers, replicas, third_crash_at):
+    ran = {request_id: at for each in replicas for request_id, at, _ in each.runs}
+    for request_id, daemon, sent_at, status in callers.attempts:
+        if status in (408, 421, 429, 503) and request_id in ran:
+            return [f"{request_id} was answered {status} and ran"]
+    late = [
+        (request_id, daemon) for request_id, daemon, _, _ in callers.attempts
+        if request_id in ran and ran[request_id] > third_crash_at + STABLE_S
+        and daemon.is_in_touch(ran[request_id])
     ]
+    for request_id, daemon in late:
+        case.record(f"late retry {request_id} reached a replica from {daemon.name}")
+    case.record(f"ordinary requests by answer: {callers.ordinary}")
+    told = f"{len(late)} late retries reached replicas, {MOST_LATE_RETRIES} may"
+    case.record(told)
+    lost = sum(count for status, count in callers.ordinary.items() if status != 200)
+    return [f"BUDGET: {told}; {lost} other requests got no success meanwhile"] if len(late) > MOST_LATE_RETRIES else []
 
 
 main(HERE, play)
