Review: a removed key is taken for 5 s while versions follow each other

Three daemons on links of 10 Mbit/s, a configuration that has grown by 2,800 routes, a storm of 12 versions in 4 s; the last one takes a key away. The daemons read every version in turn.

--- a/review/lib3/daemons.py
+++ b/review/lib3/daemons.py
@@ -51,7 +51,7 @@
 
 
 class Daemon:
-    def __init__(self, folder, ip, base, zone, seeds, store, record, memory_mb=110):
+    def __init__(self, folder, ip, base, zone, seeds, store, record, machine=None, bounds=None):
         self.ip, self.zone, self.name = ip, zone, f"front-{zone}-{ip.split('.')[2]}"
         self.front = f"{ip}:{base + PORTS['front']}"
         self.ready = f"{ip}:{base + PORTS['ready']}"
@@ -71,13 +71,14 @@
             "internal-ports": f"{base + 40},{base + 55}",
             "seeds": ",".join(f"{each}:{base + PORTS['control']}" for each in seeds),
             "bootstrap": "true", "include-in-tolerance": "false",
-            "limits.cpu-share": 0.25, "limits.cores": 1, "limits.memory-mb": memory_mb,
+            "limits.cpu-share": 0.25, "limits.cores": 1, "limits.memory-mb": 110,
             "limits.max-fds": 4100, "limits.link-mbps": 1000.0, "limits.disk-mb": 0,
             "discovery": "platform", "entry": "directory", "heartbeat-ms": 1200,
             "contracts": "base,drain,config,cost,retry,recover,engine,stream,tenants,platform",
             "platform.address": store, "platform.form": "log", "platform.keep_s": 300,
         }
-        settings |= {f"bounds.{name}": value for name, value in BOUNDS.items()}
+        settings |= machine or {}
+        settings |= {f"bounds.{name}": value for name, value in (BOUNDS | (bounds or {})).items()}
         self._boot.write_text("".join(f"{name}={value}\n" for name, value in settings.items()))
 
     def start(self):
--- a/review/lib3/store.py
+++ b/review/lib3/store.py
@@ -10,6 +10,10 @@
 
 OPERATOR, SERVERS = "keyed.op", "keyed.servers"
 PAGE_ENTRIES = 500
+# Most bytes of records in the answer to a read, as long as it has one record.
+READ_BYTES = 1_024 * 1_024
+# What is written at a time over a narrow link.
+SLICE_BYTES = 8_192
 
 
 class Store:
@@ -21,7 +25,13 @@
 
     async def open(self, ip):
         self._server = await asyncio.start_server(self._serve, ip, 0)
-        self.address = f"{ip}:{self._server.sockets[0].getsockname()[1]}"
+        self.address = address_of(self._server)
+
+    async def open_narrow(self, ip, link_mbps):
+        """An address of the store at the end of a link that carries so much."""
+        link = Link(link_mbps)
+        server = await asyncio.start_server(lambda *ends: self._serve(*ends, link=link), ip, 0)
+        return address_of(server)
 
     async def write(self, topic, key, value):
         """Appends a record; a value of None removes the key."""
@@ -30,14 +40,18 @@
             self.records[topic].append((key.encode(), raw))
             self._news.notify_all()
 
-    async def _serve(self, reader, writer):
+    async def _serve(self, reader, writer, link=None):
         try:
             while (got := await http11.read_head(reader)) is not None:
                 await http11.read_body(reader, got[1])
                 path, _, query = got[0].split(" ")[1].partition("?")
                 terms = dict(urllib.parse.parse_qsl(query))
-                writer.write(await self._answer(path, terms))
-                await writer.drain()
+                answer = await self._answer(path, terms)
+                if link is not None:
+                    await link.send(writer, answer)
+                else:
+                    writer.write(answer)
+                    await writer.drain()
         except (http11.Broken, OSError, asyncio.CancelledError):
             pass
         finally:
@@ -76,5 +90,29 @@
         body = struct.pack(">QQ", len(records), 0)
         for key, raw in records[start:]:
             record = bytes([len(key)]) + key + raw
+            if len(body) > 16 and len(body) + len(record) > READ_BYTES:
+                break
             body += struct.pack(">I", len(record)) + record
         return http11.answer(200, body=body)
+
+
+class Link:
+    """A link that all connections of one daemon to the store share."""
+
+    def __init__(self, mbps):
+        self._bytes_per_s = mbps * 125_000
+        self._free_at = 0.0
+
+    async def send(self, writer, bytes_out):
+        for start in range(0, len(bytes_out), SLICE_BYTES):
+            part = bytes_out[start:start + SLICE_BYTES]
+            now = asyncio.get_running_loop().time()
+            self._free_at = max(self._free_at, now) + len(part) / self._bytes_per_s
+            await asyncio.sleep(self._free_at - now)
+            writer.write(part)
+            await writer.drain()
+
+
+def address_of(server):
+    host, port = server.sockets[0].getsockname()[:2]
+    return f"{host}:{port}"
