Review: a daemon that the store had turned away keeps a removed replica

Two of three machines are lost; the store leaves the third without answers for 9 s, five times; 0.7 s after each the entry of a replica is removed. Back in touch, the daemon still sends unsafe entries there.

--- a/review/lib3/daemons.py
+++ b/review/lib3/daemons.py
@@ -86,14 +86,14 @@
         env["SAPPHIREREEL_BOOT"] = str(self._boot)
         with open(self._log, "ab") as log:
             self.process = subprocess.Popen(program(), cwd=ROOT, env=env, stdout=log, stderr=log)
-        self._touch("start")
+        self.touch("start")
 
     def send(self, number):
         if self.process.poll() is None:
             self.process.send_signal(number)
-        self._touch(signal.Signals(number).name)
+        self.touch(signal.Signals(number).name)
 
-    def _touch(self, what):
+    def touch(self, what):
         self.touches.append(time.monotonic())
         self._record(f"{self.name}: {what}")
 
--- a/review/lib3/replicas.py
+++ b/review/lib3/replicas.py
@@ -53,6 +53,15 @@
         for each in list(self._writers):
             each.transport.abort()
 
+    async def leave_unannounced(self, serves_on_s):
+        """Its entry is removed without a word of draining; it serves on and ends later."""
+        self._beats.cancel()
+        await self._store.write(platform.SERVERS, self.id, None)
+        self.left_at = time.monotonic()
+        self.record(f"{self.id}: its entry is removed")
+        await asyncio.sleep(serves_on_s)
+        self.crash()
+
     async def crash_and_return(self, after_s):
         self.crash()
         await asyncio.sleep(after_s)
--- a/review/lib3/store.py
+++ b/review/lib3/store.py
@@ -40,13 +40,22 @@
             self.records[topic].append((key.encode(), raw))
             self._news.notify_all()
 
-    async def _serve(self, reader, writer, link=None):
+    async def open_door(self, ip):
+        """An address of the store for one daemon, which can be left without answers there."""
+        door = Door()
+        server = await asyncio.start_server(lambda *ends: self._serve(*ends, door=door), ip, 0)
+        return address_of(server), door
+
+    async def _serve(self, reader, writer, link=None, door=None):
         try:
             while (got := await http11.read_head(reader)) is not None:
                 await http11.read_body(reader, got[1])
                 path, _, query = got[0].split(" ")[1].partition("?")
                 terms = dict(urllib.parse.parse_qsl(query))
                 answer = await self._answer(path, terms)
+                if door is not None and door.is_silent:
+                    # A connection on which an answer is lost returns nothing further.
+                    await asyncio.sleep(3_600)
                 if link is not None:
                     await link.send(writer, answer)
                 else:
@@ -96,6 +105,12 @@
         return http11.answer(200, body=body)
 
 
+class Door:
+    """Where one daemon reaches the store."""
+
+    is_silent = False
+
+
 class Link:
     """A link that all connections of one daemon to the store share."""
 
