A silent order does not end the run that it was to stop

Callers saw nothing: their streams were whole.

Cause: the time without an answer counted as the end of the run, although the order's connection had been established, which shows that the replica is within reach. The order may be carried out later, or never.

Now a replica that is silent for 350 ms is asked over a new connection which runs it has, and ordered again. The run goes on elsewhere if the report lacks it and nothing waits there, or if two connections in a row are not established. Where doubt remains after 1.5 s the stream ends as incomplete, and says why.

--- a/packages/relay/include/sapphirereel/relay/lost_run_stopper.hpp
+++ b/packages/relay/include/sapphirereel/relay/lost_run_stopper.hpp
@@ -1,17 +1,21 @@
 /// \file
 /// Defines the stop of a run whose stream was lost, before the run goes on at
-/// another replica: its replica is ordered to stop it and to keep its memory.
+/// another replica: its replica is ordered to stop it and to keep its memory,
+/// and, where it is silent, asked whether it has the run at all.
 #ifndef SAPPHIREREEL_RELAY_LOST_RUN_STOPPER_HPP
 #define SAPPHIREREEL_RELAY_LOST_RUN_STOPPER_HPP
 
 #include "sapphirereel/relay/lost_run_end.hpp"
 #include "sapphirereel/relay/run_migrator.hpp"
 
+#include <algorithm>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace sapphirereel::relay {
 
@@ -31,12 +35,14 @@
         , timer_(state.loop)
     {}
 
-    /// Orders `source` to stop the run; its memory goes to `destination`, which
-    /// is another replica. Does nothing once `owner` is destroyed.
+    /// Orders `source`, which was sent the request at `sent_at`, to stop the
+    /// run; its memory goes to `destination`, which is another replica. Does
+    /// nothing once `owner` is destroyed.
     auto start(
         std::weak_ptr<void> owner,
         replica const& source,
         replica const& destination,
+        time_point sent_at,
         time_point now,
         ended_handler ended) -> void
     {
@@ -44,10 +50,10 @@
         source_ = source;
         destination_ = destination;
         began_ = now;
-        inquiry_.emplace(now);
+        inquiry_.emplace(now, lost_run{request_id_, sent_at});
         ended_ = std::move(ended);
         state_.metrics.add(relay_counter::lost_runs_asked);
-        ask();
+        order();
     }
 
     auto cancel() -> void
@@ -55,7 +61,7 @@
         inquiry_.reset();
         ended_ = {};
         timer_.cancel();
-        if (auto const pending = std::exchange(call_, nullptr))
+        for (auto const& pending : std::exchange(calls_, {}))
         {
             pending->cancel();
         }
@@ -67,7 +73,9 @@
     }
 
 private:
-    auto ask() -> void
+    /// Orders the replica to stop the run. Earlier orders stay pending: they
+    /// may be answered yet.
+    auto order() -> void
     {
         auto const now = telemetry::monotonic_now();
         auto const left = inquiry_->time_left(now);
@@ -80,10 +88,11 @@
             state_.gate.take(source_.id, permit_use::running, now);
         if (permitted != permission::granted)
         {
-            ask_again();
+            after(inquiry_->next_delay(), [this] { order(); });
             return;
         }
-        call_ = send_migration_request<Format>(
+        ++orders_;
+        calls_.push_back(send_migration_request<Format>(
             state_, source_, {request_id_, host_and_port(destination_), true},
             left, [this, owner = owner_](migration_result const& result) {
                 auto const held = owner.lock();
@@ -91,30 +100,50 @@
                 {
                     take(result);
                 }
-            });
+            }));
+        after(silence_until_report, [this] { ask_for_report(); });
+    }
+
+    /// Asks the replica, which has been silent, whether it has the run.
+    auto ask_for_report() -> void
+    {
+        auto const now = telemetry::monotonic_now();
+        auto const limit = std::min(run_report_limit, inquiry_->time_left(now));
+        ++reports_;
+        state_.metrics.add(relay_counter::lost_run_reports);
+        calls_.push_back(send_run_report_request<Format>(
+            state_, source_, limit,
+            [this, owner = owner_, now](run_report_result const& result) {
+                auto const held = owner.lock();
+                if (held && is_active())
+                {
+                    take(result, now);
+                }
+            }));
     }
 
-    auto ask_again() -> void
+    template <class Action>
+    auto after(duration delay, Action action) -> void
     {
-        timer_.expires_after(inquiry_->next_delay());
-        timer_.async_wait([this, owner = owner_](std::error_code error) {
-            // Keeps the owner alive until the function has returned.
-            auto const held = owner.lock();
-            if (!error && held && is_active())
-            {
-                ask();
-            }
-        });
+        timer_.expires_after(delay);
+        timer_.async_wait(
+            [this, owner = owner_, action](std::error_code error) {
+                // Keeps the owner alive until the function has returned.
+                auto const held = owner.lock();
+                if (!error && held && is_active())
+                {
+                    action();
+                }
+            });
     }
 
     auto take(migration_result const& result) -> void
     {
-        call_.reset();
         auto const now = telemetry::monotonic_now();
         auto const what = inquiry_->record(result, now);
         if (!what)
         {
-            ask_again();
+            after(inquiry_->next_delay(), [this] { order(); });
             return;
         }
         if (*what != lost_run_end::stopped)
@@ -129,6 +158,18 @@
                        is_copied ? destination_ : source_, now});
     }
 
+    auto take(run_report_result const& result, time_point asked_at) -> void
+    {
+        auto const what =
+            inquiry_->record(result, asked_at, telemetry::monotonic_now());
+        if (what)
+        {
+            end(*what, std::nullopt);
+            return;
+        }
+        after(inquiry_->next_delay(), [this] { order(); });
+    }
+
     auto end(lost_run_end what, std::optional<stopped_run> const& run) -> void
     {
         if (what == lost_run_end::stopped)
@@ -143,6 +184,8 @@
             request_id_, "asked whether a lost run has ended",
             {{"replica", source_.id},
              {"end", std::string{name_of(what)}},
+             {"orders", orders_},
+             {"reports", reports_},
              {"after", telemetry::monotonic_now() - began_}});
         auto const ended = std::exchange(ended_, {});
         cancel();
@@ -153,12 +196,15 @@
     std::string request_id_;
     asio::steady_timer timer_;
     std::weak_ptr<void> owner_;
-    std::shared_ptr<buffered_call> call_;
+    /// Orders and questions, also those that have been answered.
+    std::vector<std::shared_ptr<buffered_call>> calls_;
     std::optional<lost_run_inquiry> inquiry_;
     ended_handler ended_;
     replica source_;
     replica destination_;
     time_point began_{};
+    std::uint64_t orders_ = 0;
+    std::uint64_t reports_ = 0;
 };
 
 } // namespace sapphirereel::relay
--- a/packages/relay/include/sapphirereel/relay/message_format.hpp
+++ b/packages/relay/include/sapphirereel/relay/message_format.hpp
@@ -13,6 +13,7 @@
 #include <concepts>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -108,6 +109,17 @@
     auto operator<=>(migration_response const&) const = default;
 };
 
+/// What a replica reports about its requests, as of some hundred milliseconds
+/// before.
+struct run_report
+{
+    /// Ids of the requests that run.
+    std::set<std::string> running;
+    /// Number of requests that wait; a preempted run is among them.
+    std::uint64_t waiting = 0;
+    auto operator<=>(run_report const&) const = default;
+};
+
 /// A deployment's message format.
 template <class Format>
 concept message_format = requires(
@@ -141,6 +153,12 @@
     {
         Format::read_migration_response(answer)
         } -> std::same_as<migration_response>;
+    {
+        Format::write_run_report_request()
+        } -> std::same_as<std::string>;
+    {
+        Format::read_run_report(answer)
+        } -> std::same_as<std::optional<run_report>>;
 };
 
 } // namespace sapphirereel::relay
--- a/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
@@ -40,6 +40,7 @@
     lost_runs_asked,
     lost_runs_stopped,
     lost_runs_unknown,
+    lost_run_reports,
     streams_sent_again,
     streams_resumed,
     positions_received,
--- a/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_exchange.hpp
@@ -398,6 +398,11 @@
         return target_;
     }
 
+    [[nodiscard]] auto sent_at() const -> time_point override
+    {
+        return sent_at_;
+    }
+
     [[nodiscard]] auto events() const -> event_sequence const& override
     {
         return events_;
@@ -427,7 +432,7 @@
 
     auto run_undecided(std::string_view why) -> void override
     {
-        abort_stream(why);
+        abort_stream(fmt::format("{}; its replica may still work on it", why));
     }
 
     /// Where the request is sent again from; none if it may not be.
--- a/packages/relay/include/sapphirereel/relay/stream_resumption.hpp
+++ b/packages/relay/include/sapphirereel/relay/stream_resumption.hpp
@@ -26,6 +26,9 @@
     /// The replica that runs the request.
     [[nodiscard]] virtual auto source() const -> replica const& = 0;
 
+    /// When the request was sent to it.
+    [[nodiscard]] virtual auto sent_at() const -> time_point = 0;
+
     /// The events that the caller has received.
     [[nodiscard]] virtual auto events() const -> event_sequence const& = 0;
 
@@ -219,7 +222,8 @@
         migrator_.cancel();
         stopped_.reset();
         stopper_.start(
-            owner_, stream_.source(), *destination, telemetry::monotonic_now(),
+            owner_, stream_.source(), *destination, stream_.sent_at(),
+            telemetry::monotonic_now(),
             [this,
              why](lost_run_end what, std::optional<stopped_run> const& run) {
                 lost_run_ended(what, run, why);
--- a/packages/relay/src/relay_metrics.cpp
+++ b/packages/relay/src/relay_metrics.cpp
@@ -36,6 +36,7 @@
     "lost_runs_asked",
     "lost_runs_stopped",
     "lost_runs_unknown",
+    "lost_run_reports",
     "streams_sent_again",
     "streams_resumed",
     "positions_received",
