Daemons that have started are told of crashes that others remember

Cause: crashes and clearances were reported for six seconds, by the daemon that saw them. They were remembered for ten minutes, and never told again.

In a large zone six daemons tell it on average.

--- a/packages/core/include/sapphirereel/core/poison_request.hpp
+++ b/packages/core/include/sapphirereel/core/poison_request.hpp
@@ -74,6 +74,37 @@
     auto operator<=>(cleared_message const&) const = default;
 };
 
+/// A crash that a daemon remembers, without the requests that were cleared.
+struct remembered_crash
+{
+    crash_message crash;
+    /// Time since it was recorded.
+    duration age{0};
+    auto operator<=>(remembered_crash const&) const = default;
+};
+
+/// A clearance that a daemon remembers.
+struct remembered_clearance
+{
+    cleared_message clearance;
+    /// Time since the youngest of its crashes was recorded.
+    duration age{0};
+    auto operator<=>(remembered_clearance const&) const = default;
+};
+
+/// What a daemon remembers of crashes, for one that has just started.
+struct crash_memory
+{
+    std::vector<remembered_crash> crashes;
+    std::vector<remembered_clearance> clearances;
+    auto operator<=>(crash_memory const&) const = default;
+
+    [[nodiscard]] auto is_empty() const -> bool
+    {
+        return crashes.empty() && clearances.empty();
+    }
+};
+
 /// One daemon's record of crashes and their suspects. Daemons that have
 /// received the same messages, in any order, give the same verdicts.
 class poison_request_detector
@@ -118,6 +149,15 @@
     /// All recorded crashes, for a daemon that has just started.
     [[nodiscard]] auto crashes() const -> std::vector<crash_message>;
 
+    /// The youngest crashes and clearances, `most` of each; crashes of poison
+    /// requests come before others.
+    [[nodiscard]] auto memory(time_point now, std::size_t most) const
+        -> crash_memory;
+
+    /// Records what another daemon remembers, as old as it is. Returns whether
+    /// any crash was new.
+    auto learn(crash_memory const& told, time_point now) -> bool;
+
 private:
     struct crash_record
     {
@@ -130,6 +170,14 @@
         : settings_(settings)
     {}
 
+    static auto suspects_of(crash_record const& crash) -> std::vector<digest>;
+    /// Whether one of these requests is a poison request.
+    [[nodiscard]] auto has_poison(std::vector<digest> const& contents) const
+        -> bool;
+    [[nodiscard]] auto remembered_crashes(time_point now, std::size_t most)
+        const -> std::vector<remembered_crash>;
+    [[nodiscard]] auto remembered_clearances(time_point now, std::size_t most)
+        const -> std::vector<remembered_clearance>;
     [[nodiscard]] auto is_only_common_suspect(
         digest const& content, std::vector<digest> const& crashes) const
         -> bool;
--- a/packages/core/src/poison_request.cpp
+++ b/packages/core/src/poison_request.cpp
@@ -4,6 +4,19 @@
 #include <iterator>
 
 namespace sapphirereel {
+namespace {
+
+/// Keeps the entries of the least age, sorted by it.
+template <class Entry>
+auto keep_youngest(std::vector<Entry>& entries, std::size_t most) -> void
+{
+    std::stable_sort(
+        entries.begin(), entries.end(),
+        [](Entry const& a, Entry const& b) { return a.age < b.age; });
+    entries.resize(std::min(entries.size(), most));
+}
+
+} // namespace
 
 auto poison_request_detector::create(poison_request_settings const& settings)
     -> result<poison_request_detector>
@@ -93,15 +106,104 @@
     auto all = std::vector<crash_message>{};
     for (auto const& [name, crash] : crashes_)
     {
-        auto message = crash_message{name, {}};
-        std::set_difference(
-            crash.suspects.begin(), crash.suspects.end(), crash.cleared.begin(),
-            crash.cleared.end(), std::back_inserter(message.in_flight));
-        all.push_back(std::move(message));
+        all.push_back({name, suspects_of(crash)});
     }
     return all;
 }
 
+auto poison_request_detector::suspects_of(crash_record const& crash)
+    -> std::vector<digest>
+{
+    auto suspects = std::vector<digest>{};
+    std::set_difference(
+        crash.suspects.begin(), crash.suspects.end(), crash.cleared.begin(),
+        crash.cleared.end(), std::back_inserter(suspects));
+    return suspects;
+}
+
+auto poison_request_detector::memory(time_point now, std::size_t most) const
+    -> crash_memory
+{
+    return {remembered_crashes(now, most), remembered_clearances(now, most)};
+}
+
+auto poison_request_detector::has_poison(
+    std::vector<digest> const& contents) const -> bool
+{
+    return std::any_of(
+        contents.begin(), contents.end(), [this](digest const& each) {
+            return verdict(each) == poison_verdict::poison;
+        });
+}
+
+auto poison_request_detector::remembered_crashes(
+    time_point now, std::size_t most) const -> std::vector<remembered_crash>
+{
+    auto poison = std::vector<remembered_crash>{};
+    auto others = std::vector<remembered_crash>{};
+    for (auto const& [name, crash] : crashes_)
+    {
+        auto suspects = suspects_of(crash);
+        if (suspects.empty())
+        {
+            continue;
+        }
+        auto& list = has_poison(suspects) ? poison : others;
+        list.push_back({{name, std::move(suspects)}, now - crash.at});
+    }
+    keep_youngest(poison, most);
+    keep_youngest(others, most - poison.size());
+    std::move(others.begin(), others.end(), std::back_inserter(poison));
+    return poison;
+}
+
+auto poison_request_detector::remembered_clearances(
+    time_point now, std::size_t most) const -> std::vector<remembered_clearance>
+{
+    auto found = std::map<digest, remembered_clearance>{};
+    for (auto const& [name, crash] : crashes_)
+    {
+        auto const age = now - crash.at;
+        for (auto const& content : crash.cleared)
+        {
+            auto& each =
+                found.try_emplace(content, remembered_clearance{{}, age})
+                    .first->second;
+            each.clearance.content = content;
+            each.clearance.deaths.push_back(name);
+            each.age = std::min(each.age, age);
+        }
+    }
+    auto listed = std::vector<remembered_clearance>{};
+    for (auto& [content, each] : found)
+    {
+        listed.push_back(std::move(each));
+    }
+    keep_youngest(listed, most);
+    return listed;
+}
+
+auto poison_request_detector::learn(crash_memory const& told, time_point now)
+    -> bool
+{
+    auto has_news = false;
+    for (auto const& each : told.crashes)
+    {
+        if (each.age < settings_.memory)
+        {
+            has_news = record_crash(each.crash, now - each.age) || has_news;
+        }
+    }
+    for (auto const& each : told.clearances)
+    {
+        if (each.age < settings_.memory)
+        {
+            cleared(each.clearance, now - each.age);
+        }
+    }
+    return has_news;
+}
+
 auto poison_request_detector::crashes_of(digest const& content) const
     -> std::vector<digest>
 {
--- a/packages/relay/include/sapphirereel/relay/crash_tracker.hpp
+++ b/packages/relay/include/sapphirereel/relay/crash_tracker.hpp
@@ -23,6 +23,10 @@
 /// without any response are not a coincidence.
 inline constexpr auto crashes_of_poison_request = 3U;
 
+/// Most crashes that a daemon which has just started is told of: those of eight
+/// poison requests.
+inline constexpr auto max_remembered = std::size_t{24};
+
 /// Reports of crashes that daemons send to each other.
 struct crash_reports
 {
@@ -67,6 +71,19 @@
     /// This daemon's own reports that are recent enough to be sent.
     [[nodiscard]] auto entries_to_report() const -> crash_reports;
 
+    /// What this daemon remembers of crashes, whoever saw them, up to
+    /// `max_remembered` crashes and as many clearances.
+    [[nodiscard]] auto memory(time_point now) const -> crash_memory
+    {
+        return requests_.memory(now, max_remembered);
+    }
+
+    /// Records what a peer remembers. Returns whether any crash was new.
+    auto learn(crash_memory const& told, time_point now) -> bool
+    {
+        return requests_.learn(told, now);
+    }
+
     /// Drops expired records.
     auto expire(time_point now) -> void;
 
--- a/packages/relay/include/sapphirereel/relay/peer_gossip.hpp
+++ b/packages/relay/include/sapphirereel/relay/peer_gossip.hpp
@@ -4,6 +4,7 @@
 #ifndef SAPPHIREREEL_RELAY_PEER_GOSSIP_HPP
 #define SAPPHIREREEL_RELAY_PEER_GOSSIP_HPP
 
+#include "sapphirereel/core/poison_request.hpp"
 #include "sapphirereel/relay/peer_socket.hpp"
 #include "sapphirereel/relay/peer_table.hpp"
 #include "sapphirereel/relay/process_log.hpp"
@@ -14,6 +15,7 @@
 #include <asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 #include <tl/expected.hpp>
@@ -75,6 +77,12 @@
             permit_response(permit_request const&, permit_shares const&)> issue,
         std::function<void(permit_response const&)> responded) -> void;
 
+    /// Sets what this daemon remembers of crashes, which is told to daemons
+    /// that have just started, and the handler of what others remember.
+    auto set_memory_handlers(
+        std::function<crash_memory(time_point)> recall,
+        std::function<void(crash_memory const&, time_point)> learn) -> void;
+
     /// Sends a request for a permit to the replica's home. If that is this
     /// daemon, the response arrives at once.
     auto request_permit(permit_request asked) -> void;
@@ -114,6 +122,8 @@
     [[nodiscard]] auto is_seed() const -> bool;
     auto send_known_addresses(std::string const& ip) -> void;
     auto send_reply(peer_report const& asked) -> void;
+    auto tell_memory(std::string const& ip, time_point now) -> void;
+    [[nodiscard]] auto is_told_memory(peer_report const& report) -> bool;
     auto ask_contacts(time_point now) -> void;
     auto ask_overdue(time_point now) -> void;
     /// Whether a daemon's reports count one by one, not as a sum of its zone.
@@ -138,7 +148,10 @@
     std::function<permit_response(permit_request const&, permit_shares const&)>
         issue_permit_;
     std::function<void(permit_response const&)> on_permit_response_;
+    std::function<crash_memory(time_point)> recall_;
+    std::function<void(crash_memory const&, time_point)> learn_;
     peer_table peers_;
+    std::mt19937_64 random_;
     std::unique_ptr<peer_socket> datagrams_;
     asio::steady_timer report_timer_;
     std::set<std::string> alive_;
--- a/packages/relay/include/sapphirereel/relay/peer_table.hpp
+++ b/packages/relay/include/sapphirereel/relay/peer_table.hpp
@@ -121,6 +121,11 @@
         return peers_.contains(ip);
     }
 
+    /// Number of reports that have arrived from an address since its process
+    /// has started.
+    [[nodiscard]] auto reports_since_start(std::string const& ip) const
+        -> unsigned;
+
     /// Version of the encoding that the daemon at an address sent; none if it
     /// has not reported.
     [[nodiscard]] auto version_of(std::string const& ip) const
@@ -140,6 +145,8 @@
         /// Questions since the last report, and when the last one was asked.
         int unanswered = 0;
         time_point asked_at{};
+        /// Reports since its process has started.
+        unsigned reports = 1;
     };
     struct contact
     {
--- a/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_metrics.hpp
@@ -42,6 +42,7 @@
     lost_runs_unknown,
     lost_run_reports,
     replaced_records_skipped,
+    crash_memories_told,
     streams_sent_again,
     streams_resumed,
     positions_received,
--- a/packages/relay/include/sapphirereel/relay/relay_node.hpp
+++ b/packages/relay/include/sapphirereel/relay/relay_node.hpp
@@ -120,6 +120,11 @@
         state_.work_placed = [this] {
             peers_.send_report(report_scope::mesh);
         };
+        peers_.set_memory_handlers(
+            [this](time_point at) { return state_.crashes.memory(at); },
+            [this](crash_memory const& told, time_point at) {
+                learn_crashes(told, at);
+            });
         state_.limits_changed = [this] {
             peers_.schedule_report(report_scope::all);
         };
@@ -574,6 +579,19 @@
             http::find(request.fields, reads_outlines_field).has_value(), now);
     }
 
+    /// Records crashes that happened before this daemon started.
+    auto learn_crashes(crash_memory const& told, time_point now) -> void
+    {
+        if (!state_.crashes.learn(told, now))
+        {
+            return;
+        }
+        state_.log.info(
+            "crashes", "learned of earlier crashes",
+            {{"crashes", told.crashes.size()},
+             {"clearances", told.clearances.size()}});
+    }
+
     // Periodic work.
 
     auto tick() -> void
--- a/packages/relay/src/peer_gossip.cpp
+++ b/packages/relay/src/peer_gossip.cpp
@@ -1,6 +1,7 @@
 #include "sapphirereel/relay/peer_gossip.hpp"
 
 #include "sapphirereel/relay/control_intervals.hpp"
+#include "sapphirereel/relay/crash_memory_message.hpp"
 #include "sapphirereel/telemetry/clocks.hpp"
 
 #include <algorithm>
@@ -13,6 +14,13 @@
 /// One in so many periodic reports is also sent to unresponsive addresses.
 constexpr auto reports_per_probe = 4;
 
+/// Reports of a daemon that has just started upon which it is told of crashes:
+/// datagrams are lost now and then.
+constexpr auto reports_answered_with_memory = 3U;
+
+/// Mean number of daemons that tell it each time, if there are more.
+constexpr auto tellers_of_memory = 6.0;
+
 } // namespace
 
 peer_gossip::peer_gossip(
@@ -40,6 +48,7 @@
           settings.zone,
           incarnation,
           silence_limit(settings.shortest_bound()))
+    , random_(incarnation)
     , report_timer_(loop)
 {}
 
@@ -229,6 +238,48 @@
     on_permit_response_ = std::move(responded);
 }
 
+auto peer_gossip::set_memory_handlers(
+    std::function<crash_memory(time_point)> recall,
+    std::function<void(crash_memory const&, time_point)> learn) -> void
+{
+    recall_ = std::move(recall);
+    learn_ = std::move(learn);
+}
+
+/// Whether the daemon that sent a report has just started, and is told of
+/// crashes by this daemon.
+auto peer_gossip::is_told_memory(peer_report const& report) -> bool
+{
+    auto const has_just_started =
+        peers_.reports_since_start(report.ip) <= reports_answered_with_memory;
+    if (!recall_ || !has_just_started || !is_in_mesh(report))
+    {
+        return false;
+    }
+    auto const share =
+        tellers_of_memory / static_cast<double>(peers_.mesh_size());
+    return std::bernoulli_distribution{std::min(1.0, share)}(random_);
+}
+
+auto peer_gossip::tell_memory(std::string const& ip, time_point now) -> void
+{
+    auto const memory = recall_(now);
+    if (memory.is_empty())
+    {
+        return;
+    }
+    auto const bytes = write_crash_memory(memory);
+    metrics_.add(relay_counter::crash_memories_told);
+    metrics_.add(relay_counter::peer_bytes_sent, bytes.size());
+    log_.info(
+        "crashes", "told a daemon that has started",
+        {{"peer", ip},
+         {"crashes", memory.crashes.size()},
+         {"clearances", memory.clearances.size()},
+         {"bytes", bytes.size()}});
+    datagrams_->send(ip, bytes);
+}
+
 auto peer_gossip::request_permit(permit_request asked) -> void
 {
     auto const now = telemetry::monotonic_now();
@@ -274,6 +325,11 @@
     auto const now = telemetry::monotonic_now();
     if (!report)
     {
+        auto const memory = read_crash_memory(bytes);
+        if (memory && learn_)
+        {
+            learn_(*memory, now);
+        }
         return;
     }
     auto const is_first_report = !peers_.has_report_from(report->ip);
@@ -292,6 +348,10 @@
     {
         send_known_addresses(report->ip);
     }
+    if (is_told_memory(*report))
+    {
+        tell_memory(report->ip, now);
+    }
     if (report->wants_reply && is_in_mesh(*report))
     {
         send({report->ip}, make_report());
--- a/packages/relay/src/peer_table.cpp
+++ b/packages/relay/src/peer_table.cpp
@@ -85,10 +85,19 @@
     {
         return false;
     }
+    auto const is_same_start = report.incarnation == last.incarnation;
+    auto const reports = is_same_start ? held->second.reports + 1 : 1U;
     held->second = {report, now};
+    held->second.reports = reports;
     return true;
 }
 
+auto peer_table::reports_since_start(std::string const& ip) const -> unsigned
+{
+    auto const held = peers_.find(ip);
+    return held == peers_.end() ? 0 : held->second.reports;
+}
+
 auto peer_table::mesh_size() const -> std::size_t
 {
     return is_zoned() ? known_in_zone_ + 1 : max_daemons();
--- a/packages/relay/src/relay_metrics.cpp
+++ b/packages/relay/src/relay_metrics.cpp
@@ -38,6 +38,7 @@
     "lost_runs_unknown",
     "lost_run_reports",
     "replaced_records_skipped",
+    "crash_memories_told",
     "streams_sent_again",
     "streams_resumed",
     "positions_received",
