--- a/tools/soak.d/model_replicas.py
+++ b/tools/soak.d/model_replicas.py
@@ -8,6 +8,7 @@
 
 import faulty_answers
 import http11
+import silent_orders
 from replicas import CUT_SHARE, EVENTS, EVENT_PAUSE_S, Replica
 
 TOKENS_OF_EVENT = 4
@@ -19,6 +20,7 @@
 HANDLE_LIFE_S = 5.0
 LONGEST_TRANSFER_S = 0.08
 ORDER_PATH = "/-/kv-move"
+REPORT_PATH = "/-/report"
 
 # Shares of the orders that a replica executes and doesn't answer, refuses, or takes
 # for another request, while it answers wrongly.
@@ -77,6 +79,9 @@
         if asked.start[1] == ORDER_PATH:
             await self._take_order(asked, writer)
             return
+        if asked.start[1] == REPORT_PATH:
+            await self._report(writer)
+            return
         await super()._run(asked, writer, earlier)
 
     def _refuses(self, asked):
@@ -140,7 +145,8 @@
             writer.write(faulty_answers.wrong_chunk(event))
             writer.close()
             return True
-        return self.mode == "cut" and await self._cut_stream(event, writer)
+        is_cutting = self.mode in ("cut", silent_orders.MODE)
+        return is_cutting and await self._cut_stream(event, writer)
 
     async def _room(self, mine):
         """Waits while the newest run is preempted for want of memory."""
@@ -151,12 +157,27 @@
                 return
             await asyncio.sleep(EVENT_PAUSE_S)
 
-    # Orders.
+    # Orders and questions.
+
+    async def _report(self, writer):
+        """Tells which runs it has."""
+        if self.mode == "hang":
+            await asyncio.sleep(3_600)
+        if self.mode == "reset":
+            writer.transport.abort()
+            return
+        told = [
+            [each.request_id, each.tokens, each.made, 5]
+            for each in self._runs.values()
+            if not each.is_stopped
+        ]
+        body = json.dumps({"runs": told, "waiting": 0, "running": len(told)})
+        writer.write(http11.answer(200, body=body.encode()))
 
     async def _take_order(self, asked, writer):
         is_spoiled = self.mode in faulty_answers.MODES
         chance = self._random.random()
-        if self.mode == "hang":
+        if self.mode in ("hang", silent_orders.MODE):
             await asyncio.sleep(3_600)
         if self.mode == "reset":
             writer.transport.abort()
--- a/tools/soak.d/soak.py
+++ b/tools/soak.d/soak.py
@@ -28,6 +28,7 @@
 from model_replicas import ModelReplica
 from replicas import Replica
 from rollout import Rollout
+from silent_orders import SilentOrders
 from spans import Spans
 from store import Store
 
@@ -94,6 +95,7 @@
         )
         self.daemon_faults = DaemonFaults(self.random, self.findings, self.publish)
         self.crowds = Crowds(random.Random(f"{seed}.crowds"))
+        self.silent_orders = SilentOrders(random.Random(f"{seed}.orders"))
         self.odd_entries_left = MOST_ODD_ENTRIES
         self.replica_faults = ReplicaFaults(self.random)
         self.rollout = None
@@ -359,6 +361,7 @@
             self.series(end, self.next_fault, 1.2),
             self.series(end, self.next_answer_fault, 2.0),
             self.series_of_crowds(end),
+            self.series_of_silent_orders(end),
         ]
         if self.rollout:
             series.append(self.rollout.run(seconds))
@@ -384,6 +387,15 @@
                 await run()
             await asyncio.sleep(draws.uniform(0, LONGEST_PAUSE_OF_CROWDS_S))
 
+    async def series_of_silent_orders(self, end):
+        """One model replica after the other leaves orders without an answer."""
+        while time.monotonic() < end:
+            await asyncio.sleep(self.silent_orders.pause_s())
+            silent = self.silent_orders.next(self.replicas)
+            if silent:
+                self.note(f"silent orders {silent.id}")
+                await self.silent_orders.run(silent)
+
     # The run.
 
     async def traffic(self, seconds, first):
