--- a/test/correctness/relay/silent_orders_are_no_ends.cpp
+++ b/test/correctness/relay/silent_orders_are_no_ends.cpp
@@ -115,12 +115,19 @@
     EXPECT_EQ(with.counted(relay_counter::lost_runs_stopped), 1U);
 }
 
-class unhelpful_orders : public testing::TestWithParam<order_taking>
+/// A way to take orders that does not end the run, and its name in the test's.
+struct unhelpful_taking
+{
+    order_taking how;
+    std::string name;
+};
+
+class unhelpful_orders : public testing::TestWithParam<unhelpful_taking>
 {};
 
 TEST_P(unhelpful_orders, let_no_two_replicas_work_on_a_run)
 {
-    auto with = silent_world{GetParam()};
+    auto with = silent_world{GetParam().how};
     EXPECT_FALSE(with.is_served());
     EXPECT_EQ(with.engine.runs.size(), 1U);
 }
@@ -129,11 +136,12 @@
     of_each_kind,
     unhelpful_orders,
     testing::Values(
-        order_taking::late,
-        order_taking::refused,
-        order_taking::closed,
-        order_taking::unknown_order,
-        order_taking::broken_answer));
+        unhelpful_taking{order_taking::late, "late"},
+        unhelpful_taking{order_taking::refused, "refused"},
+        unhelpful_taking{order_taking::closed, "closed"},
+        unhelpful_taking{order_taking::unknown_order, "unknown"},
+        unhelpful_taking{order_taking::broken_answer, "broken"}),
+    [](auto const& each) { return each.param.name; });
 
 constexpr auto began = time_point{std::chrono::seconds{9}};
 constexpr auto asked_at = began + milliseconds{400};
