--- a/packages/relay/include/sapphirereel/relay/peer_report_fields.hpp
+++ b/packages/relay/include/sapphirereel/relay/peer_report_fields.hpp
@@ -9,6 +9,9 @@
 
 #include <cstddef>
 #include <msgpack.hpp>
+#include <optional>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 namespace sapphirereel::relay {
@@ -62,6 +65,31 @@
     msgpack::object_array const* list_;
 };
 
+/// Reads a message with a function of its unpacked object that returns an
+/// optional; none if the bytes are no MessagePack, beyond the limits, of other
+/// types than the function expects, or followed by others.
+template <class Read>
+auto read_packed(
+    std::string_view bytes, msgpack::unpack_limit const& limits, Read read)
+    -> decltype(read(std::declval<msgpack::object const&>()))
+{
+    try
+    {
+        auto consumed = std::size_t{0};
+        auto const unpacked = msgpack::unpack(
+            bytes.data(), bytes.size(), consumed, nullptr, nullptr, limits);
+        return consumed == bytes.size() ? read(unpacked.get()) : std::nullopt;
+    }
+    catch (msgpack::unpack_error const&)
+    {
+        return std::nullopt;
+    }
+    catch (msgpack::type_error const&)
+    {
+        return std::nullopt;
+    }
+}
+
 auto pack_array(report_packer& to, std::size_t elements) -> void;
 
 auto write_load(report_packer& to, load_report const& loads) -> void;
--- a/packages/relay/src/crash_memory_message.cpp
+++ b/packages/relay/src/crash_memory_message.cpp
@@ -111,22 +111,7 @@
 {
     auto const limits =
         msgpack::unpack_limit{max_elements, 0, max_text_bytes, 0, 0, max_depth};
-    try
-    {
-        auto consumed = std::size_t{0};
-        auto const unpacked = msgpack::unpack(
-            bytes.data(), bytes.size(), consumed, nullptr, nullptr, limits);
-        return consumed == bytes.size() ? read_memory(unpacked.get())
-                                        : std::nullopt;
-    }
-    catch (msgpack::unpack_error const&)
-    {
-        return std::nullopt;
-    }
-    catch (msgpack::type_error const&)
-    {
-        return std::nullopt;
-    }
+    return read_packed(bytes, limits, read_memory);
 }
 
 } // namespace sapphirereel::relay
--- a/test/correctness/relay/silent_orders_are_no_ends.cpp
+++ b/test/correctness/relay/silent_orders_are_no_ends.cpp
@@ -4,6 +4,7 @@
 #include "support/relay/working_engine.hpp"
 
 #include <gtest/gtest.h>
+#include <ostream>
 
 namespace sapphirereel::relay::test {
 namespace {
@@ -120,6 +121,12 @@
 {
     order_taking how;
     std::string name;
+
+    friend auto operator<<(std::ostream& to, unhelpful_taking const& which)
+        -> std::ostream&
+    {
+        return to << which.name;
+    }
 };
 
 class unhelpful_orders : public testing::TestWithParam<unhelpful_taking>
